--- /dev/null
+++ b/cmd/cottonwell/serve.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"sync"
+
+	"reachcart/internal/clock"
+	"reachcart/internal/config"
+	"reachcart/internal/core"
+	"reachcart/internal/invariant"
+	"reachcart/internal/net/discovery"
+	"reachcart/internal/net/httpio"
+	"reachcart/internal/net/listener"
+	"reachcart/internal/net/target"
+)
+
+const (
+	comeBack   = 1000.0 // milliseconds: the advice on a refusal where the module has none
+	graceFor   = 700.0  // after SIGTERM clients still come for up to 400 ms
+	statsEvery = 10_000.0
+	reserve    = 64 // descriptors kept for discovery, the log and the runtime
+)
+
+// serve runs the scheduler until ctx ends and all that it took is answered.
+func serve(ctx context.Context, o options, env func(string) string, stderr io.Writer) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(o.level)); err != nil {
+		return fmt.Errorf("%w: serve: --log: %w", errUsage, err)
+	}
+	cfg, err := config.Load(o.config, env)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.Name)
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
+	s, err := assemble(cfg, log)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	log.Info("start", "listen", ln.Addr(), "discovery", cfg.Discovery, "targets", len(cfg.Known.Endpoints), "memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets)
+	s.run(ctx, ln)
+	log.Info("stop")
+	return nil
+}
+
+// scheduler is the program's parts, put together.
+type scheduler struct {
+	log      *slog.Logger
+	clock    clock.Clock
+	inv      *invariant.Set
+	core     *core.Core
+	targets  *target.Transport
+	watch    *discovery.Watcher
+	listener *listener.Listener
+}
+
+// sink breaks the circle between the core and the transports it is made with.
+type sink struct{ *core.Core }
+
+// assemble puts the parts together; nothing runs yet.
+func assemble(cfg *config.Config, log *slog.Logger) (*scheduler, error) {
+	clk, stack, inv := clock.NewSystem(), httpio.NewStack(), invariant.New()
+	s := &scheduler{log: log, clock: clk, inv: inv}
+	places := max(16, cfg.Limits.Sockets-reserve)
+	back := &sink{}
+	s.targets = target.New(target.Config{Clock: clk, Log: log, Stack: stack, Sink: back, Host: "origin.svc",
+		Sockets: httpio.NewBudget(places * 2 / 5),
+		DialFor: clock.Millis(cfg.Settings.DialTimeout), IdleFor: clock.Millis(cfg.Settings.ConnIdle)})
+	s.watch = discovery.New(discovery.Watcher{Address: cfg.Discovery, Clock: clk, Log: log, Stack: stack,
+		From: cfg.Known.Index, Tell: func(g core.Group) { back.List("discovery", g) }})
+	known, err := cfg.Known.TargetGroup()
+	if err != nil {
+		log.Warn("entry of the known list passed over", "cause", err)
+	}
+	s.core, err = core.New(core.Config{Settings: cfg.Settings, Seed: cfg.Seed, Clock: clk, Log: log, Invariants: inv,
+		ComeBack: comeBack, Known: map[string]core.Group{"discovery": known}},
+		core.Source{Name: "discovery", Transport: s.targets, Watch: s.watch.Watch})
+	if err != nil {
+		return nil, err
+	}
+	back.Core = s.core
+	classes := map[string]float64{}
+	for _, c := range cfg.Settings.Classes {
+		classes[c.Name] = clock.Millis(c.Deadline)
+	}
+	s.listener = listener.New(s.core, clk, log, stack, classes, httpio.NewBudget(places*3/5))
+	return s, nil
+}
+
+// run serves until ctx ends, then goes on until all that was taken is answered.
+func (s *scheduler) run(ctx context.Context, ln net.Listener) {
+	inner, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer cancel()
+	all.Go(func() { s.core.Run(inner) })
+	all.Go(func() { s.watch.Run(inner) })
+	all.Go(func() { s.stats(inner) })
+	all.Go(func() {
+		if err := s.listener.Serve(inner, ln); err != nil {
+			s.log.Error("listener ended", "cause", err)
+		}
+	})
+	s.listener.SetReady(true)
+	<-ctx.Done()
+	s.log.Info("winding down")
+	s.listener.SetReady(false)
+	s.sleep(graceFor)
+	s.listener.Wind()
+	for {
+		<-s.core.Idle()
+		if s.listener.Busy() == 0 {
+			return
+		}
+		s.sleep(20)
+	}
+}
+
+func (s *scheduler) sleep(ms float64) {
+	a := s.clock.NewAlarm()
+	defer a.Stop()
+	a.Set(s.clock.Now() + ms)
+	<-a.C()
+}
+
+// stats logs the books now and then.
+func (s *scheduler) stats(ctx context.Context) {
+	a := s.clock.NewAlarm()
+	defer a.Stop()
+	for {
+		a.Set(s.clock.Now() + statsEvery)
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.C():
+		}
+		b, n := s.core.Books(), &s.targets.Counts
+		s.log.Info("books", "open", b.Open, "taken", b.Taken, "served", b.Served, "refused", b.Refused, "failed", b.Failed,
+			"left", b.Left, "sends", b.Sends, "cancels", b.Cancels, "probes", b.Probes, "outcomes", b.Outcomes, "dropped", b.Dropped,
+			"dialled", n.Dialled.Load(), "reused", n.Reused.Load(), "retired", n.Retired.Load(), "invariants", s.inv.Counts())
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,188 @@
+// Package config reads what a scheduler is told at its start: the platform's
+// configuration with the settings of the decision module, and the operator's file.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"reachcart/balance"
+	"reachcart/internal/net/discovery"
+	"reachcart/internal/wire"
+)
+
+// Config is the platform's configuration.
+type Config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	SeedText  string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known       discovery.List `json:"known"`
+	RawSettings map[string]any `json:"settings"`
+
+	Settings balance.Settings `json:"-"`
+	Seed     uint64           `json:"-"`
+}
+
+// Load reads the file named by the environment; variables of their own win over it.
+func Load(path string, env func(string) string) (*Config, error) {
+	if path == "" {
+		return nil, fmt.Errorf("no configuration: RELAY_CONFIG is not set and --config not given")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	for name, to := range map[string]*string{"RELAY_NAME": &c.Name, "RELAY_LISTEN": &c.Listen, "RELAY_DISCOVERY": &c.Discovery} {
+		if v := env(name); v != "" {
+			*to = v
+		}
+	}
+	if c.Listen == "" {
+		return nil, fmt.Errorf("configuration %s: no address to listen at", path)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration.
+func Parse(data []byte) (*Config, error) {
+	c := &Config{}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber() // or large microsecond figures would come out in another form
+	if err := d.Decode(c); err != nil {
+		return nil, err
+	}
+	c.Seed = seed(c.SeedText)
+	if c.Limits.MemoryMB <= 0 {
+		c.Limits.MemoryMB = 192
+	}
+	if c.Limits.Sockets <= 0 {
+		c.Limits.Sockets = 1024
+	}
+	pairs, err := Flatten(c.RawSettings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c.Settings, err = settings(pairs)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return c, nil
+}
+
+// seed turns the seed's text into a number, as hex where it is.
+func seed(text string) uint64 {
+	if n, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// settings hands the pairs to the parser of the simulator's wire, so that both sides
+// read one form.
+func settings(pairs []string) (balance.Settings, error) {
+	text := "FRAME sim-time-us=0 seq=0\nSPAWN dispatcher=0 rng-seed=0 " + strings.Join(pairs, " ") + "\nEND\n"
+	in := wire.NewReader(strings.NewReader(text))
+	for {
+		it, err := in.Next()
+		if err != nil {
+			return balance.Settings{}, err
+		}
+		if it.Kind == wire.Start {
+			return it.Settings, nil
+		}
+	}
+}
+
+// Flatten turns nested settings into the wire's path=value pairs, sorted: lists of
+// plain values are joined by commas, lists of objects get a count and numbers, and
+// what would break a pair becomes an underscore.
+func Flatten(settings map[string]any) ([]string, error) {
+	var out []string
+	var walk func(path string, v any) error
+	walk = func(path string, v any) error {
+		at := func(name string) string { return strings.TrimPrefix(path+"."+name, ".") }
+		switch v := v.(type) {
+		case nil:
+			return nil
+		case map[string]any:
+			for name, x := range v {
+				if err := walk(at(clean(name)), x); err != nil {
+					return err
+				}
+			}
+			return nil
+		case []any:
+			if slices.ContainsFunc(v, func(x any) bool { _, ok := x.(map[string]any); return ok }) {
+				out = append(out, at("count")+"="+strconv.Itoa(len(v)))
+				for i, x := range v {
+					if err := walk(at(strconv.Itoa(i)), x); err != nil {
+						return err
+					}
+				}
+				return nil
+			}
+			var parts []string
+			for _, x := range v {
+				s, err := plain(x)
+				if err != nil {
+					return fmt.Errorf("%s: %w", path, err)
+				}
+				parts = append(parts, s)
+			}
+			out = append(out, path+"="+strings.Join(parts, ","))
+			return nil
+		}
+		s, err := plain(v)
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		out = append(out, path+"="+s)
+		return nil
+	}
+	if err := walk("", settings); err != nil {
+		return nil, err
+	}
+	slices.Sort(out)
+	return out, nil
+}
+
+func plain(v any) (string, error) {
+	switch v := v.(type) {
+	case string:
+		return clean(v), nil
+	case bool:
+		return strconv.FormatBool(v), nil
+	case json.Number:
+		return v.String(), nil
+	case float64:
+		return strconv.FormatFloat(v, 'f', -1, 64), nil
+	}
+	return "", fmt.Errorf("a value of an unknown form (%T)", v)
+}
+
+func clean(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r <= ' ' || r == ',' || r == '=' {
+			return '_'
+		}
+		return r
+	}, s)
+}
--- /dev/null
+++ b/internal/core/admit.go
@@ -0,0 +1,32 @@
+package core
+
+import (
+	"reachcart/balance"
+	"reachcart/internal/clock"
+)
+
+// admit lets a flow in to the module, or gives it a fixed response. What is refused
+// here has never been sent anywhere, so that to try again does no harm.
+func (c *Core) admit(f *flow) {
+	switch {
+	case c.byID[f.ID] != nil:
+		// Two flows of one id could not be told apart by what targets call back, and a target
+		// would hold two attempts of one request. The first one keeps the id.
+		c.books.Twice++
+		f.From.Answer(Answer{Kind: Failed})
+		c.free(f)
+		return
+	case c.cfg.MaxOpen > 0 && c.open >= c.cfg.MaxOpen:
+		c.books.Full++
+		c.books.Refused++
+		f.From.Answer(Answer{Kind: Refused, RetryAfter: c.cfg.ComeBack})
+		c.free(f)
+		return
+	}
+	c.flows[f.number], c.byID[f.ID] = f, f
+	c.open++
+	// The module answers by itself before its client leaves; this timer is for the day it does not.
+	c.timers.add(timer{at: f.deadline + clock.Millis(c.cfg.Settings.AnswerSlack)/2, what: flowTimer, id: f.number})
+	c.step(balance.Event{Kind: balance.Arrived, Request: f.number, Class: f.Class, Key: f.Subject,
+		Budget: clock.Duration(f.deadline - c.clock.Now()), Hint: clock.Duration(f.Hint), Slots: f.Slots, Repeat: f.Repeat})
+}
--- /dev/null
+++ b/internal/core/book.go
@@ -0,0 +1,79 @@
+package core
+
+import (
+	"maps"
+
+	"reachcart/balance"
+)
+
+// Books are a core's counts since its start.
+type Books struct {
+	Taken, Served, Refused, Failed, Left int // flows, by how they ended
+	Twice, Full                          int // not admitted: id in use; too many open
+	Sends, Cancels, Probes, ListFailures int
+	Outcomes                             [8]int         // by balance.Result
+	Dropped                              map[string]int // late news, by what it was
+	Open, Targets                        int
+}
+
+func (b *Books) outcome(r balance.Result) {
+	if r >= 0 && int(r) < len(b.Outcomes) {
+		b.Outcomes[r]++
+	}
+}
+
+// finish marks a flow as over for its client.
+func (c *Core) finish(f *flow) {
+	f.answered = true
+	c.open--
+	if c.open == 0 {
+		for _, ch := range c.idle {
+			close(ch)
+		}
+		c.idle = nil
+	}
+	c.book(f)
+}
+
+// book closes the account of a flow that is over once nothing of it is out.
+func (c *Core) book(f *flow) {
+	if !f.answered || f.out >= 0 {
+		return
+	}
+	if c.flows[f.number] == f {
+		delete(c.flows, f.number)
+		delete(c.byID, f.ID)
+		c.free(f)
+	}
+}
+
+func (c *Core) free(f *flow) {
+	if f.Job.Body != nil {
+		f.Job.Body.Release()
+		f.Job.Body = nil
+	}
+}
+
+// drop counts something that came too late to matter.
+func (c *Core) drop(what string) { c.books.Dropped[what]++ }
+
+// Books returns the counts, or what they were if the core has stopped.
+func (c *Core) Books() Books {
+	ch := make(chan Books, 1)
+	c.post(readBooks{ch})
+	select {
+	case b := <-ch:
+		return b
+	case <-c.done:
+		return Books{}
+	}
+}
+
+type readBooks struct{ ch chan Books }
+
+func (e readBooks) apply(c *Core) {
+	b := c.books
+	b.Dropped = maps.Clone(b.Dropped)
+	b.Open, b.Targets = c.open, len(c.targets)
+	e.ch <- b
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,184 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"reachcart/balance"
+	"reachcart/internal/clock"
+	"reachcart/internal/invariant"
+)
+
+// Config is what a core is made from.
+type Config struct {
+	Settings   balance.Settings
+	Seed       uint64
+	Clock      clock.Clock
+	Log        *slog.Logger
+	Invariants *invariant.Set
+	// ComeBack is the advice on a refusal for which the module gives none, in ms.
+	ComeBack float64
+	// MaxOpen is how many flows may be open at once.
+	MaxOpen int
+	// Known is the list as it was held last, by source; the module learns it first.
+	Known map[string]Group
+}
+
+// Core runs the flows of one scheduler.
+type Core struct {
+	cfg     Config
+	log     *slog.Logger
+	clock   clock.Clock
+	inv     *invariant.Set
+	module  *balance.Balancer
+	sources map[string]*source
+	events  chan event
+	done    chan struct{} // closed when Run returns
+
+	// What follows belongs to Run's goroutine.
+	flows   map[uint64]*flow
+	byID    map[string]*flow
+	last    uint64 // number of the newest flow
+	open    int    // flows without a final answer
+	targets map[string]*source
+	timers  timers
+	steps   []balance.Event // for the module, in order
+	acts    []balance.Action
+	books   Books
+	idle    []chan struct{} // closed once no flow is open
+}
+
+type source struct {
+	Source
+	members map[string]Target
+}
+
+type event interface{ apply(*Core) }
+
+// New returns a core that has not begun, or says what is wrong with its settings.
+func New(cfg Config, sources ...Source) (*Core, error) {
+	module, err := balance.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("decision module: %w", err)
+	}
+	c := &Core{cfg: cfg, log: cfg.Log, clock: cfg.Clock, inv: cfg.Invariants, module: module,
+		sources: map[string]*source{}, events: make(chan event, 1024), done: make(chan struct{}),
+		flows: map[uint64]*flow{}, byID: map[string]*flow{}, targets: map[string]*source{},
+		books: Books{Dropped: map[string]int{}}}
+	for _, s := range sources {
+		c.sources[s.Name] = &source{Source: s, members: map[string]Target{}}
+	}
+	return c, nil
+}
+
+// post hands an event to Run. After Run has returned, events have no receiver.
+func (c *Core) post(e event) {
+	select {
+	case c.events <- e:
+	case <-c.done:
+	}
+}
+
+// Run takes events until ctx ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.done)
+	alarm := c.clock.NewAlarm()
+	defer alarm.Stop()
+	for name, g := range c.cfg.Known {
+		g.Scope = balance.FromDisk
+		listed{name, g}.apply(c)
+		c.route()
+	}
+	for {
+		if at, ok := c.timers.first(); ok {
+			alarm.Set(at)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-c.events:
+			e.apply(c)
+		case <-alarm.C():
+		}
+		c.route()
+		for c.timers.due(c.clock.Now(), c.ring) {
+			c.route()
+		}
+	}
+}
+
+// Idle returns a channel that is closed once no flow is open.
+func (c *Core) Idle() <-chan struct{} {
+	ch := make(chan struct{})
+	c.post(waitIdle{ch})
+	return ch
+}
+
+type waitIdle struct{ ch chan struct{} }
+
+func (e waitIdle) apply(c *Core) {
+	if c.open == 0 {
+		close(e.ch)
+		return
+	}
+	c.idle = append(c.idle, e.ch)
+}
+
+// List tells the core of targets.
+func (c *Core) List(from string, g Group) { c.post(listed{from, g}) }
+
+type listed struct {
+	from  string
+	group Group
+}
+
+func (e listed) apply(c *Core) {
+	s := c.sources[e.from]
+	if s == nil {
+		c.drop("list from an unknown source")
+		return
+	}
+	if e.group.Scope == balance.AskFailed {
+		c.books.ListFailures++
+		c.step(balance.Event{Kind: balance.Listed, List: balance.AskFailed})
+		return
+	}
+	if e.group.Scope != balance.Changes {
+		clear(s.members)
+	}
+	ev := balance.Event{Kind: balance.Listed, List: e.group.Scope}
+	for _, t := range e.group.Targets {
+		t.Started = clock.Duration(t.StartedMS)
+		if t.State == balance.Gone {
+			delete(s.members, t.ID)
+		} else {
+			s.members[t.ID] = t
+			c.targets[t.ID] = s // it stays known: a send may be on its way
+		}
+		ev.Members = append(ev.Members, t.Member)
+	}
+	if e.group.Scope != balance.Changes {
+		// The module takes a whole list for all that there is, so the other sources' targets go in too.
+		for _, other := range c.sources {
+			if other == s {
+				continue
+			}
+			for _, t := range other.members {
+				ev.Members = append(ev.Members, t.Member)
+			}
+		}
+	}
+	s.Transport.Listed(e.group)
+	c.step(ev)
+}
+
+// ProbeEnded tells how a probe ended.
+func (c *Core) ProbeEnded(r ProbeResult) { c.post(probed{r}) }
+
+type probed struct{ r ProbeResult }
+
+func (e probed) apply(c *Core) {
+	c.step(balance.Event{Kind: balance.Probed, Worker: e.r.Target, Result: e.r.Result,
+		Elapsed: clock.Duration(e.r.Elapsed), Report: e.r.Report})
+}
--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,97 @@
+package core
+
+import (
+	"reachcart/balance"
+	"reachcart/internal/clock"
+)
+
+// Ended tells how an attempt ended. Only the first word about an attempt counts.
+func (c *Core) Ended(o Outcome) { c.post(ended{o}) }
+
+type ended struct{ o Outcome }
+
+func (e ended) apply(c *Core) {
+	f := c.flows[e.o.Flow]
+	if f == nil || e.o.N >= len(f.attempts) || f.attempts[e.o.N].ended {
+		c.drop("outcome of an attempt that is over")
+		return
+	}
+	c.conclude(f, e.o.N, e.o)
+}
+
+// News tells what a target says by itself.
+func (c *Core) News(n TargetNews) { c.post(news{n}) }
+
+type news struct{ n TargetNews }
+
+func (e news) apply(c *Core) {
+	f := c.byID[e.n.ID]
+	if f == nil || f.out < 0 || f.attempts[f.out].target != e.n.From {
+		c.drop("news of an attempt that is over")
+		return
+	}
+	n := f.out
+	if p := e.n.Progress; p != nil {
+		if p.Data == "" {
+			c.step(balance.Event{Kind: balance.Noted, Request: f.number, Attempt: n, Worker: e.n.From,
+				Started: p.Started, Fraction: p.Fraction})
+		}
+		if !f.answered {
+			f.From.Progress(*p)
+		}
+		return
+	}
+	c.conclude(f, n, Outcome{Ref: Ref{f.number, n}, Result: e.n.Result, Report: e.n.Report, Body: e.n.Body})
+}
+
+// conclude ends an attempt, relays a result to the client and tells the module.
+func (c *Core) conclude(f *flow, n int, o Outcome) {
+	a := &f.attempts[n]
+	a.ended = true
+	if f.out == n {
+		f.out = -1
+	}
+	c.books.outcome(o.Result)
+	if o.Result == balance.OK && !f.answered {
+		c.relay(f, Answer{Kind: Served, Body: o.Body})
+	}
+	c.step(balance.Event{Kind: balance.Ended, Request: f.number, Attempt: n, Worker: a.target, Result: o.Result,
+		Final: f.answered, Elapsed: clock.Duration(c.clock.Now() - a.sentAt), Report: o.Report})
+	c.book(f)
+}
+
+// giveUp gives the fixed response that the module decided on, at once.
+func (c *Core) giveUp(number uint64, ans Answer) {
+	if f := c.flows[number]; f != nil && !f.answered {
+		c.relay(f, ans)
+	}
+}
+
+// relay gives a flow its one final answer.
+func (c *Core) relay(f *flow, ans Answer) {
+	if !c.inv.Check(!f.answered, "second-answer", "flow %d", f.number) {
+		return
+	}
+	switch ans.Kind {
+	case Served:
+		c.books.Served++
+	case Refused:
+		c.books.Refused++
+	case Failed:
+		c.books.Failed++
+	}
+	f.From.Answer(ans)
+	c.finish(f)
+}
+
+// overdue answers a flow that the module has left without an answer.
+func (c *Core) overdue(number uint64) {
+	f := c.flows[number]
+	if f == nil || f.answered {
+		return
+	}
+	c.log.Error("flow overdue: the module gave no answer in time", "flow", f.number, "id", f.ID, "class", f.Class)
+	c.inv.Check(false, "flow-overdue", "flow %d", f.number)
+	c.relay(f, Answer{Kind: Failed, TimedOut: true})
+	c.step(balance.Event{Kind: balance.Departed, Request: f.number})
+}
--- /dev/null
+++ b/internal/invariant/release.go
@@ -0,0 +1,5 @@
+//go:build !debug
+
+package invariant
+
+const debug = false
--- /dev/null
+++ b/internal/net/discovery/discovery.go
@@ -0,0 +1,137 @@
+// Package discovery keeps a watch on the list of targets.
+package discovery
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+
+	"reachcart/balance"
+	"reachcart/internal/clock"
+	"reachcart/internal/core"
+	"reachcart/internal/net/httpio"
+)
+
+const (
+	dialFor  = 1000.0 // milliseconds
+	firstFor = 3000.0 // until the first object: calls wait in turn there
+	quietFor = 5000.0 // an empty line comes every 2 s, so by then the watch is dead though TCP does not say so
+)
+
+// Watcher holds at most one watch open. It does not try again by itself: it tells of
+// the failure, and whoever listens asks anew when it sees fit. (The decision module
+// does so with a jittered backoff that doubles.)
+type Watcher struct {
+	Address string
+	Clock   clock.Clock
+	Log     *slog.Logger
+	Stack   *httpio.Stack
+	// Tell receives every list, and an AskFailed after each watch that failed or ended.
+	Tell func(core.Group)
+	// From is the version of the list held at the start, 0 for none.
+	From uint64
+
+	asked chan struct{}
+}
+
+// Watch asks for a watch. It does not block; while one is open it does nothing.
+func (w *Watcher) Watch() {
+	select {
+	case w.asked <- struct{}{}:
+	default:
+	}
+}
+
+// New makes a watcher ready.
+func New(w Watcher) *Watcher {
+	w.asked = make(chan struct{}, 1)
+	return &w
+}
+
+// Run holds the watches that are asked for, until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.asked:
+		}
+		err := w.once(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		w.Log.Warn("watch ended", "discovery", w.Address, "index", w.From, "cause", err)
+		w.Tell(core.Group{Scope: balance.AskFailed})
+	}
+}
+
+// once holds one watch until it ends, and says why it did.
+func (w *Watcher) once(ctx context.Context) error {
+	d := net.Dialer{Timeout: clock.Duration(dialFor)}
+	nc, err := d.DialContext(ctx, "tcp", w.Address)
+	if err != nil {
+		return fmt.Errorf("connect: %w", err)
+	}
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+	c := w.Stack.Wrap(nc)
+	path := "/discovery/hosts?watch=1"
+	if w.From > 0 {
+		path += "&from=" + strconv.FormatUint(w.From, 10)
+	}
+	buf := c.Buffer()
+	defer c.Done(buf)
+	if _, err := c.Send(httpio.Start(buf, "GET ", path, " HTTP/1.1").Field("Host", w.Address), nil, w.Clock.Deadline(dialFor)); err != nil {
+		return fmt.Errorf("ask: %w", err)
+	}
+	resp, err := c.Stream("GET", w.Clock.Deadline(firstFor))
+	if err != nil {
+		return fmt.Errorf("answer: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != 200 {
+		return fmt.Errorf("answer: status %d", resp.StatusCode)
+	}
+	w.Log.Info("watch open", "discovery", w.Address, "from", w.From)
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 1<<20)
+	for {
+		if !lines.Scan() {
+			return cmpErr(lines.Err(), errors.New("the stream ended"))
+		}
+		c.Grant()
+		if err := c.SetReadDeadline(w.Clock.Deadline(quietFor)); err != nil {
+			return err
+		}
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		var l List
+		if err := json.Unmarshal(line, &l); err != nil {
+			// What this line changed is lost: only the whole list can mend that.
+			w.From = 0
+			return fmt.Errorf("a line that cannot be read: %w", err)
+		}
+		g, err := l.TargetGroup()
+		if err != nil {
+			w.Log.Warn("list entry passed over", "cause", err)
+		}
+		w.From = l.Index
+		w.Log.Info("list", "index", l.Index, "whole", l.Snapshot, "targets", len(l.Endpoints))
+		w.Tell(g)
+	}
+}
+
+func cmpErr(err, instead error) error {
+	if err != nil {
+		return err
+	}
+	return instead
+}
--- /dev/null
+++ b/internal/net/httpio/httpio.go
@@ -0,0 +1,215 @@
+// Package httpio is the framing that every HTTP side of the scheduler shares: reading
+// requests and answers within limits, writing messages, and the budget of sockets.
+package httpio
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"reachcart/internal/buffer"
+)
+
+const (
+	maxHead     = 16 << 10
+	maxOnTheAir = maxHead + 2*buffer.MaxBody // a chunked body has some framing
+)
+
+// What is wrong with a message. Any other error is the connection's.
+var (
+	ErrMalformed = errors.New("malformed message")
+	ErrTooLarge  = buffer.ErrTooLarge
+)
+
+// Stack makes connections that share one pool of buffers.
+type Stack struct {
+	Buffers *buffer.Pool
+}
+
+// NewStack returns a stack with a pool of its own.
+func NewStack() *Stack { return &Stack{Buffers: buffer.NewPool()} }
+
+// Conn is a connection that carries HTTP messages, one at a time.
+type Conn struct {
+	net.Conn
+	stack *Stack
+	limit io.LimitedReader
+	br    *bufio.Reader
+}
+
+// Wrap makes a Conn of c.
+func (s *Stack) Wrap(c net.Conn) *Conn {
+	conn := &Conn{Conn: c, stack: s}
+	conn.limit = io.LimitedReader{R: c, N: maxOnTheAir}
+	conn.br = bufio.NewReaderSize(&conn.limit, buffer.Size/2)
+	return conn
+}
+
+// Await blocks until the next byte has come, without taking it.
+func (c *Conn) Await() error {
+	c.limit.N = maxOnTheAir
+	_, err := c.br.Peek(1)
+	return err
+}
+
+// ReadRequest reads one request with its whole body, until the deadline.
+func (c *Conn) ReadRequest(deadline time.Time) (*http.Request, *buffer.Body, error) {
+	c.limit.N = maxOnTheAir
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return nil, nil, err
+	}
+	req, err := http.ReadRequest(c.br)
+	if err != nil {
+		return nil, nil, c.fault(err)
+	}
+	if req.ContentLength > buffer.MaxBody {
+		return req, nil, ErrTooLarge
+	}
+	if req.Header.Get("Expect") == "100-continue" {
+		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return req, nil, err
+		}
+	}
+	body, err := c.stack.Buffers.Read(req.Body)
+	if err != nil {
+		return req, nil, c.fault(err)
+	}
+	return req, body, nil
+}
+
+// ReadResponse reads one answer to a request of the given method, its body up to
+// buffer.MaxBody, until the deadline.
+func (c *Conn) ReadResponse(method string, deadline time.Time) (*http.Response, *buffer.Body, error) {
+	c.limit.N = maxOnTheAir
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return nil, nil, err
+	}
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, nil, c.fault(err)
+	}
+	body, err := c.stack.Buffers.Read(resp.Body)
+	if err != nil {
+		return resp, nil, c.fault(err)
+	}
+	return resp, body, nil
+}
+
+// Stream reads the head of an answer whose body goes on; the caller reads Body line by
+// line and sets deadlines itself. Grant allows for the next bytes.
+func (c *Conn) Stream(method string, deadline time.Time) (*http.Response, error) {
+	c.Grant()
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, c.fault(err)
+	}
+	return resp, nil
+}
+
+// Grant lets a stream carry so much more that a list of targets surely fits.
+func (c *Conn) Grant() { c.limit.N = 4 << 20 }
+
+// fault tells what is wrong with the message from what happened to the connection.
+func (c *Conn) fault(err error) error {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, ErrTooLarge), c.limit.N <= 0:
+		return ErrTooLarge
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr), errors.Is(err, net.ErrClosed):
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrMalformed, err)
+}
+
+// Head begins a message in the form of its first line; Field and End go on.
+type Head struct{ b []byte }
+
+// Start begins a message in a buffer.
+func Start(buf *[buffer.Size]byte, line ...string) *Head {
+	h := &Head{buf[:0]}
+	for _, s := range line {
+		h.b = append(h.b, s...)
+	}
+	h.b = append(h.b, "\r\n"...)
+	return h
+}
+
+// Field adds a header field, unless its value is empty.
+func (h *Head) Field(name, value string) *Head {
+	if value != "" {
+		h.b = append(append(append(append(h.b, name...), ": "...), value...), "\r\n"...)
+	}
+	return h
+}
+
+// Send writes the message with a body until the deadline. It returns how many bytes
+// are missing: 0 says that the last byte was written, and the other side may have it.
+func (c *Conn) Send(h *Head, body [][]byte, deadline time.Time) (missing int64, err error) {
+	n := 0
+	for _, s := range body {
+		n += len(s)
+	}
+	h.b = append(h.b, "Content-Length: "...)
+	h.b = strconv.AppendInt(h.b, int64(n), 10)
+	h.b = append(h.b, "\r\n\r\n"...)
+	total := int64(len(h.b) + n)
+	if err := c.SetWriteDeadline(deadline); err != nil {
+		return total, err
+	}
+	if len(body) <= 1 && n+len(h.b) <= cap(h.b) { // one segment where it fits
+		for _, s := range body {
+			h.b = append(h.b, s...)
+		}
+		m, err := c.Conn.Write(h.b)
+		return total - int64(m), err
+	}
+	all := append(net.Buffers{h.b}, body...)
+	m, err := all.WriteTo(c.Conn)
+	return total - m, err
+}
+
+// Buffer lends a buffer for a head; the caller gives it back with Done.
+func (c *Conn) Buffer() *[buffer.Size]byte { return c.stack.Buffers.Get() }
+
+// Done takes back what Buffer lent.
+func (c *Conn) Done(b *[buffer.Size]byte) { c.stack.Buffers.Put(b) }
+
+// Budget bounds how many sockets one side holds.
+type Budget struct{ slots chan struct{} }
+
+// NewBudget returns a budget of n sockets.
+func NewBudget(n int) *Budget { return &Budget{make(chan struct{}, max(1, n))} }
+
+// TryTake takes a socket's place if there is one.
+func (b *Budget) TryTake() bool {
+	select {
+	case b.slots <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// Take waits for a socket's place, or for stop.
+func (b *Budget) Take(stop <-chan struct{}) bool {
+	select {
+	case b.slots <- struct{}{}:
+		return true
+	case <-stop:
+		return false
+	}
+}
+
+// Give gives a place back.
+func (b *Budget) Give() { <-b.slots }
+
+// Tight says whether under a fifth of the places is left.
+func (b *Budget) Tight() bool { return len(b.slots)*5 > cap(b.slots)*4 }
--- /dev/null
+++ b/internal/net/listener/parse.go
@@ -0,0 +1,137 @@
+package listener
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"reachcart/balance"
+	"reachcart/internal/buffer"
+	"reachcart/internal/core"
+	"reachcart/internal/net/httpio"
+)
+
+// parseJob reads a job's head. The body is not its concern.
+func parseJob(req *http.Request, class string, patience float64) (*core.Request, error) {
+	h := req.Header
+	r := &core.Request{ID: h.Get("X-Txn"), Class: class, Tenant: h.Get("X-Org"), Slots: 1, Patience: patience,
+		Repeat: h.Get("X-Resent") == "1",
+		Job:    core.Job{Method: req.Method, Path: req.RequestURI, Key: h.Get("Idempotency-Key"), Type: h.Get("Content-Type")}}
+	if !validID(r.ID) {
+		return nil, errors.New("X-Txn must be 1 to 128 letters, digits, '-', '_' or '.'")
+	}
+	if sid, err := req.Cookie("sid"); err == nil {
+		r.Subject = sid.Value
+	}
+	if s := h.Get("X-Remaining"); s != "" {
+		ms, err := parseSpan(s)
+		if err != nil {
+			return nil, fmt.Errorf("X-Remaining: %w", err)
+		}
+		r.Patience = ms
+	}
+	if err := parseLabels(h.Get("X-Labels"), r); err != nil {
+		return nil, fmt.Errorf("X-Labels: %w", err)
+	}
+	return r, nil
+}
+
+// validID says whether an id can stand in a path and a header as it is.
+func validID(id string) bool {
+	return len(id) > 0 && len(id) <= 128 && !strings.ContainsFunc(id, func(r rune) bool {
+		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.')
+	})
+}
+
+// parseSpan reads a number with the unit m (milliseconds) or u (microseconds).
+func parseSpan(s string) (float64, error) {
+	if s == "" {
+		return 0, errors.New("empty")
+	}
+	unit := map[byte]float64{'m': 1, 'u': 0.001}[s[len(s)-1]]
+	x, err := strconv.ParseFloat(s[:len(s)-1], 64)
+	if unit == 0 || err != nil || math.IsNaN(x) || x < 0 || x > 3.6e6 {
+		return 0, fmt.Errorf("%q is not a time of up to an hour in m or u", s)
+	}
+	return x * unit, nil
+}
+
+// parseLabels reads name=value,name=value. What it does not know it passes over.
+func parseLabels(s string, r *core.Request) error {
+	for part := range strings.SplitSeq(s, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if name != "slots" {
+			continue
+		}
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x > 0 && x < 1e6) {
+			return fmt.Errorf("slots=%q is not a number of slots", value)
+		}
+		r.Slots = x
+	}
+	return nil
+}
+
+// jobEvent is a target's call-back.
+type jobEvent struct {
+	ID     string             `json:"id"`
+	From   string             `json:"from"`
+	State  string             `json:"state"`
+	Share  float64            `json:"share"`
+	Result string             `json:"result"`
+	Load   map[string]float64 `json:"load"`
+}
+
+// callBack passes what a target tells to the core. It is answered before the core has
+// looked at it: the target waits for nothing.
+func (l *Listener) callBack(req *http.Request, body *buffer.Body) reply {
+	if req.Method != http.MethodPost {
+		return reply{status: http.StatusMethodNotAllowed, allow: "POST"}
+	}
+	var ev jobEvent
+	if err := json.NewDecoder(body.Reader()).Decode(&ev); err != nil {
+		return reply{status: http.StatusBadRequest, text: "not a job event\n"}
+	}
+	n, err := ev.news()
+	if err != nil {
+		return reply{status: http.StatusBadRequest, text: err.Error() + "\n"}
+	}
+	l.Core.News(n)
+	return reply{status: http.StatusNoContent}
+}
+
+// news says what a job event means; the outcomes stand in the table of package target's
+// protocol, too.
+func (ev *jobEvent) news() (core.TargetNews, error) {
+	n := core.TargetNews{ID: ev.ID, From: ev.From}
+	if ev.Load != nil {
+		n.Report = httpio.Load(ev.Load)
+	}
+	if ev.ID == "" || ev.From == "" {
+		return n, errors.New("a job event needs id and from")
+	}
+	switch ev.State {
+	case "started":
+		n.Progress = &core.Progress{Started: true}
+		return n, nil
+	case "running":
+		n.Progress = &core.Progress{Fraction: ev.Share}
+		return n, nil
+	}
+	res, ok := httpio.Outcome(httpio.JobState(ev.State))
+	if !ok {
+		return n, fmt.Errorf("unknown state %q", ev.State)
+	}
+	n.Result = res
+	if res == balance.OK {
+		n.Body = ev.Result
+	}
+	return n, nil
+}
+
+// seconds words a time for Retry-After: whole where it is, else decimal.
+func seconds(ms float64) string { return strconv.FormatFloat(math.Ceil(ms)/1000, 'f', -1, 64) }
--- /dev/null
+++ b/internal/net/target/pool.go
@@ -0,0 +1,164 @@
+package target
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"reachcart/balance"
+	"reachcart/internal/clock"
+	"reachcart/internal/net/httpio"
+)
+
+var (
+	errNoSocket = errors.New("the budget of sockets is spent")
+	errDial     = errors.New("connect")
+)
+
+// pool holds the idle connections to one target, the one used last on top.
+type pool struct {
+	mu   sync.Mutex
+	idle []idle
+}
+
+type idle struct {
+	conn  *httpio.Conn
+	since float64
+}
+
+// retireShare is the share of the target's idle limit after which a connection is not
+// used again. The target closes it "at the latest" then, and a request that crosses the
+// closing ends as a reset, after which a purchase may not leave its pod.
+const retireShare = 0.5
+
+// take returns a connection to the target, an idle one if there is one that still stands.
+func (t *Transport) take(tg *target, address string) (c *httpio.Conn, reused bool, err error) {
+	t.retire(tg, t.IdleFor*retireShare)
+	for {
+		tg.pool.mu.Lock()
+		n := len(tg.pool.idle)
+		if n == 0 {
+			tg.pool.mu.Unlock()
+			break
+		}
+		c := tg.pool.idle[n-1].conn
+		tg.pool.idle = tg.pool.idle[:n-1]
+		tg.pool.mu.Unlock()
+		if stands(c) {
+			t.Counts.Reused.Add(1)
+			return c, true, nil
+		}
+		t.Counts.Retired.Add(1)
+		t.discard(c)
+	}
+	if !t.Sockets.TryTake() && !t.evict() {
+		return nil, false, errNoSocket
+	}
+	t.Counts.Dialled.Add(1)
+	nc, err := net.DialTimeout("tcp", address, clock.Duration(t.DialFor))
+	if err != nil {
+		t.Sockets.Give()
+		return nil, false, fmt.Errorf("%w: %w", errDial, err)
+	}
+	return t.Stack.Wrap(nc), false, nil
+}
+
+// settle puts a connection back after an answer, unless the target closes it.
+func (t *Transport) settle(tg *target, c *httpio.Conn, last bool) {
+	if last {
+		t.discard(c)
+		return
+	}
+	t.put(tg, c)
+}
+
+func (t *Transport) put(tg *target, c *httpio.Conn) {
+	// A deadline of the last exchange that passes meanwhile would make the connection look dead.
+	if c.SetDeadline(time.Time{}) != nil {
+		t.discard(c)
+		return
+	}
+	tg.pool.mu.Lock()
+	defer tg.pool.mu.Unlock()
+	tg.pool.idle = append(tg.pool.idle, idle{c, t.Clock.Now()})
+}
+
+func (t *Transport) discard(c *httpio.Conn) {
+	c.Close()
+	t.Sockets.Give()
+}
+
+// retire closes connections that have been idle so long, the oldest of which are at the bottom.
+func (t *Transport) retire(tg *target, after float64) {
+	tg.pool.mu.Lock()
+	n := 0
+	for n < len(tg.pool.idle) && t.Clock.Now()-tg.pool.idle[n].since >= after {
+		n++
+	}
+	old := append([]idle(nil), tg.pool.idle[:n]...)
+	tg.pool.idle = append(tg.pool.idle[:0], tg.pool.idle[n:]...)
+	tg.pool.mu.Unlock()
+	for _, x := range old {
+		t.Counts.Retired.Add(1)
+		t.discard(x.conn)
+	}
+}
+
+// evict closes an idle connection of any target, and keeps its place in the budget.
+func (t *Transport) evict() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tg := range t.targets {
+		tg.pool.mu.Lock()
+		if len(tg.pool.idle) > 0 {
+			c := tg.pool.idle[0].conn
+			tg.pool.idle = tg.pool.idle[1:]
+			tg.pool.mu.Unlock()
+			c.Close()
+			return true
+		}
+		tg.pool.mu.Unlock()
+	}
+	return false
+}
+
+// stands looks, without waiting, whether the other side has closed an idle connection or
+// sent something that nobody asked for. Either way it is of no use.
+func stands(c *httpio.Conn) bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		alive = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+		return true
+	})
+	return alive && err == nil
+}
+
+// parseBody reads a load report from a probe's answer: the body, as name=value pairs or
+// as JSON, or else the header.
+func parseBody(body []byte, header string) balance.Report {
+	body = bytes.TrimSpace(body)
+	var figures map[string]float64
+	if json.Unmarshal(body, &figures) == nil && len(figures) > 0 {
+		return httpio.Load(figures)
+	}
+	if rep := httpio.ParseLoad(strings.TrimSpace(string(body))); rep.Present {
+		return rep
+	}
+	return httpio.ParseLoad(header)
+}
--- /dev/null
+++ b/internal/net/target/target.go
@@ -0,0 +1,349 @@
+// Package target reaches shop workers: a pool of connections to each, attempts, giving
+// them up, and probes.
+package target
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"reachcart/balance"
+	"reachcart/internal/buffer"
+	"reachcart/internal/clock"
+	"reachcart/internal/core"
+	"reachcart/internal/net/httpio"
+)
+
+// Sink is what the transport needs of the core.
+type Sink interface {
+	Ended(core.Outcome)
+	ProbeEnded(core.ProbeResult)
+}
+
+// Config is what a transport is made from.
+type Config struct {
+	Clock   clock.Clock
+	Log     *slog.Logger
+	Stack   *httpio.Stack
+	Sink    Sink
+	Sockets *httpio.Budget
+	// DialFor is how long a connection may take to come up, in milliseconds.
+	DialFor float64
+	// IdleFor is after how long targets close idle connections, in milliseconds.
+	IdleFor float64
+	// Host is the service's name, for the Host field.
+	Host string
+}
+
+const (
+	writeFor  = 1000.0 // milliseconds
+	probeFor  = 500.0
+	giveUpFor = 150.0 // for the answer to a DELETE
+	settle    = 10.0  // from closing a connection until the target surely knows
+	lateFor   = 200.0 // for a 202 that comes after its attempt is over
+)
+
+// Transport implements core.Transport on the platform's protocol.
+type Transport struct {
+	Config
+	Counts Counts
+
+	mu      sync.Mutex
+	targets map[string]*target
+	running map[core.Ref]*attempt
+}
+
+// Counts are a transport's figures, for the log.
+type Counts struct{ Dialled, Reused, Retired, Deletes atomic.Int64 }
+
+// target is one shop worker. closed says that nothing new may be sent to it.
+type target struct {
+	name, address string
+	started       float64
+	closed        atomic.Bool
+	pool          pool
+}
+
+// New returns a transport without targets.
+func New(cfg Config) *Transport {
+	return &Transport{Config: cfg, targets: map[string]*target{}, running: map[core.Ref]*attempt{}}
+}
+
+// Listed implements core.Transport.
+func (t *Transport) Listed(g core.Group) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := map[string]bool{}
+	for _, x := range g.Targets {
+		seen[x.ID] = true
+		tg := t.targets[x.ID]
+		if tg == nil {
+			tg = &target{name: x.ID, address: x.Address, started: x.StartedMS}
+			t.targets[x.ID] = tg
+		}
+		if (x.Address != "" && x.Address != tg.address) || x.StartedMS != tg.started {
+			// Another process answers there, or the same name elsewhere: the old connections are dead.
+			if x.Address != "" {
+				tg.address = x.Address
+			}
+			tg.started = x.StartedMS
+			t.retire(tg, 0)
+		}
+		tg.closed.Store(x.State != balance.Ready)
+	}
+	if g.Scope == balance.Changes {
+		return
+	}
+	for name, tg := range t.targets {
+		if !seen[name] {
+			tg.closed.Store(true)
+			t.retire(tg, 0)
+		}
+	}
+}
+
+func (t *Transport) target(name string) (*target, string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tg := t.targets[name]
+	if tg == nil {
+		return nil, ""
+	}
+	return tg, tg.address
+}
+
+// stage is how far an attempt has come on its connection.
+type stage int
+
+const (
+	waiting stage = iota // for a connection
+	writing              // the target may have the last byte
+	over                 // answered, or broken
+	quit                 // given up before it was written: nothing goes out
+)
+
+// attempt is an attempt until its 202.
+type attempt struct {
+	core.Attempt
+	mu    sync.Mutex
+	stage stage
+	conn  *httpio.Conn
+}
+
+// enter moves to a later stage, unless the attempt was given up.
+func (a *attempt) enter(s stage, c *httpio.Conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stage == quit {
+		return false
+	}
+	a.stage, a.conn = s, c
+	return true
+}
+
+// Start implements core.Transport.
+func (t *Transport) Start(a core.Attempt) {
+	at := &attempt{Attempt: a}
+	t.mu.Lock()
+	t.running[a.Ref] = at
+	t.mu.Unlock()
+	go t.run(at)
+}
+
+// run carries an attempt up to its 202. The core drops what is told of an attempt that
+// it has ended, so run tells whatever it sees.
+func (t *Transport) run(a *attempt) {
+	back, rep := t.exchange(a)
+	t.mu.Lock()
+	delete(t.running, a.Ref)
+	t.mu.Unlock()
+	a.enter(over, nil)
+	if a.Job.Body != nil {
+		a.Job.Body.Release()
+	}
+	if back == "" { // 202: the call-backs tell the rest
+		return
+	}
+	t.end(a.Ref, back, rep)
+}
+
+func (t *Transport) end(r core.Ref, back httpio.Exchange, rep balance.Report) {
+	res, _ := httpio.Outcome(back)
+	t.Sink.Ended(core.Outcome{Ref: r, Result: res, Report: rep})
+}
+
+// exchange sends the request and waits for its 202, for which it returns "".
+func (t *Transport) exchange(a *attempt) (httpio.Exchange, balance.Report) {
+	none := balance.Report{}
+	tg, address := t.target(a.Target)
+	if tg == nil {
+		return httpio.NotBegun, none
+	}
+	for {
+		c, reused, err := t.take(tg, address)
+		if errors.Is(err, errNoSocket) {
+			t.Log.Warn("no socket left for an attempt", "target", a.Target)
+			return httpio.NotBegun, none
+		}
+		if err != nil {
+			t.Log.Debug("connect", "target", a.Target, "cause", err)
+			return httpio.NotConnected, none
+		}
+		// While the connection came up, the target may have begun to drain, or the attempt was given up.
+		if tg.closed.Load() || !a.enter(writing, c) {
+			t.put(tg, c)
+			return httpio.NotBegun, none
+		}
+		buf := c.Buffer()
+		h := httpio.Start(buf, a.Job.Method, " ", a.Job.Path, " HTTP/1.1").Field("Host", t.Host).
+			Field("X-Txn", a.ID).Field("Idempotency-Key", a.Job.Key).Field("Content-Type", a.Job.Type).
+			Field("X-Remaining", strconv.FormatInt(int64(max(1, a.Deadline-t.Clock.Now())), 10)+"m")
+		var body [][]byte
+		if a.Job.Body != nil {
+			body = a.Job.Body.Slices()
+		}
+		missing, err := c.Send(h, body, t.Clock.Deadline(writeFor))
+		c.Done(buf)
+		if err != nil || missing > 0 {
+			t.discard(c)
+			switch {
+			case missing == 0:
+				return httpio.BrokenAfter, none
+			case !a.enter(waiting, nil): // given up while it was being written; the target never had it whole
+				return httpio.NotBegun, none
+			case reused:
+				// The target closed an idle connection as we took it. It never had the last byte, so
+				// this was no attempt, and a fresh connection tells whether the target is there.
+				continue
+			}
+			return httpio.BrokenBefore, none
+		}
+		resp, rb, err := c.ReadResponse(a.Job.Method, t.Clock.Deadline(a.Deadline-t.Clock.Now()+lateFor))
+		if err != nil {
+			t.discard(c)
+			var netErr net.Error
+			if errors.As(err, &netErr) && netErr.Timeout() {
+				return httpio.Silence, none
+			}
+			return httpio.BrokenAfter, none
+		}
+		rb.Release()
+		t.settle(tg, c, resp.Close)
+		if resp.StatusCode == 202 {
+			return "", none
+		}
+		if resp.StatusCode != 500 && resp.Header.Get("X-Turned-Away") == "" {
+			t.Log.Warn("unexpected answer", "target", a.Target, "status", resp.StatusCode)
+		}
+		return httpio.Answered(resp.StatusCode, resp.Header.Get("X-Turned-Away") == "1"), httpio.ParseLoad(resp.Header.Get("X-Pressure"))
+	}
+}
+
+// Cancel implements core.Transport: it gives an attempt up, and tells so once the target
+// knows. An attempt that is not yet on its way just does not leave.
+func (t *Transport) Cancel(a core.Attempt) {
+	t.mu.Lock()
+	at := t.running[a.Ref]
+	t.mu.Unlock()
+	go t.giveUp(a, at)
+}
+
+func (t *Transport) giveUp(a core.Attempt, at *attempt) {
+	if at != nil {
+		at.mu.Lock()
+		was, c := at.stage, at.conn
+		if was == waiting {
+			at.stage = quit
+		}
+		at.mu.Unlock()
+		switch was {
+		case waiting:
+			t.end(a.Ref, httpio.GivenUp, balance.Report{})
+			return
+		case writing:
+			// Before the 202, to close the connection gives the attempt up, and it cannot overtake
+			// the request as a DELETE on another connection could.
+			c.Close()
+			t.wait(settle)
+			t.end(a.Ref, httpio.GivenUp, balance.Report{})
+			return
+		}
+	}
+	t.Counts.Deletes.Add(1)
+	if tg, address := t.target(a.Target); tg != nil {
+		if status, _, _, err := t.call(tg, address, "DELETE", "/jobs/"+a.ID, giveUpFor); err != nil {
+			t.Log.Debug("give up", "target", a.Target, "id", a.ID, "cause", err)
+		} else if status >= 300 && status != 404 {
+			t.Log.Warn("give up: unexpected answer", "target", a.Target, "id", a.ID, "status", status)
+		}
+	}
+	t.end(a.Ref, httpio.GivenUp, balance.Report{})
+}
+
+func (t *Transport) wait(ms float64) {
+	a := t.Clock.NewAlarm()
+	defer a.Stop()
+	a.Set(t.Clock.Now() + ms)
+	<-a.C()
+}
+
+// Probe implements core.Transport.
+func (t *Transport) Probe(name string) {
+	go func() {
+		begin := t.Clock.Now()
+		r := core.ProbeResult{Target: name}
+		if tg, address := t.target(name); tg != nil {
+			status, body, load, err := t.call(tg, address, "GET", "/metrics/load", probeFor)
+			switch {
+			case errors.Is(err, errNoSocket):
+				r.Result = balance.NeverSent
+			case errors.Is(err, errDial):
+				r.Result = balance.NoConnection
+			case err != nil:
+				r.Result = balance.TimedOut
+			case status != 200:
+				r.Result = balance.Failed
+			default:
+				r.Report = parseBody(body, load)
+			}
+		}
+		r.Elapsed = t.Clock.Now() - begin
+		t.Sink.ProbeEnded(r)
+	}()
+}
+
+// call makes a request without a body and returns the answer's status, body and load.
+func (t *Transport) call(tg *target, address, method, path string, within float64) (int, []byte, string, error) {
+	c, _, err := t.take(tg, address)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	buf := c.Buffer()
+	defer c.Done(buf)
+	h := httpio.Start(buf, method, " ", path, " HTTP/1.1").Field("Host", t.Host)
+	by := t.Clock.Deadline(within)
+	if _, err := c.Send(h, nil, by); err != nil {
+		t.discard(c)
+		return 0, nil, "", fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	resp, body, err := c.ReadResponse(method, by)
+	if err != nil {
+		t.discard(c)
+		return 0, nil, "", fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	defer body.Release()
+	t.settle(tg, c, resp.Close)
+	return resp.StatusCode, flat(body), resp.Header.Get("X-Pressure"), nil
+}
+
+func flat(b *buffer.Body) []byte {
+	var out []byte
+	for _, s := range b.Slices() {
+		out = append(out, s...)
+	}
+	return out
+}
