--- a/balance/api.go
+++ b/balance/api.go
@@ -180,6 +180,7 @@
 	State                State
 	Weight               float64
 	Started              time.Duration // clock time of the last start, 0 for long ago
+	Classes              string        // names of those that it can run, a comma before and behind each; empty: all
 }
 
 // Report holds a worker's figures; a figure not reported is below 0.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -583,7 +583,9 @@
 }
 
 func (b *Balancer) fits(now time.Duration, r *request, w *worker, pass int) bool {
-	return (r.class.Kind == "" || r.class.Kind == w.Kind) && (len(r.attempts) == 0 || b.maySend(now, r, w)) &&
+	return (r.class.Kind == "" || r.class.Kind == w.Kind) &&
+		(w.Classes == "" || strings.Contains(w.Classes, ","+r.class.Name+",")) &&
+		(len(r.attempts) == 0 || b.maySend(now, r, w)) &&
 		(pass == 2 || now >= w.ejectedTo) && (pass > 0 || now >= r.class.shut[w.ID]) &&
 		(pass > 0 || !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == w }))
 }
@@ -699,8 +701,9 @@
 	wait := b.wait(now, w, r.slots)
 	b.own(now, w, r, 1)
 	w.tokens -= r.work * r.slots
-	a := attempt{to: w, sentAt: now, wait: wait, out: true, lookAt: now + wait +
-		4*max(cmp.Or(b.startDelay[w.Zone], b.s.DialTimeout/4), b.s.Tick) + 2*b.s.Tick} // it may have to connect first
+	// It may have to connect first. Notes that come at once tell of no slot sooner than a tick's would.
+	prompt := max(cmp.Or(b.startDelay[w.Zone], b.s.DialTimeout/4), b.s.Tick)
+	a := attempt{to: w, sentAt: now, wait: wait, out: true, lookAt: now + wait + 4*prompt + 2*b.s.Tick}
 	if !b.s.TellsStart {
 		b.short(now > r.aimBy)
 		a.lookAt = now + 2*wait + seconds(5*r.work*b.slow(w)) + b.s.ProgressEvery*5/2
--- a/cmd/cottonwell/main.go
+++ b/cmd/cottonwell/main.go
@@ -96,8 +96,16 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", errUsage, err)
 		}
+		op, err := config.LoadOperator(o.operator, &cfg.Settings)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errUsage, err)
+		}
 		fmt.Fprintf(stdout, "configuration of %s is good: %d classes, %d targets known\n",
 			cfg.Name, len(cfg.Settings.Classes), len(cfg.Known.Endpoints))
+		if op != nil {
+			fmt.Fprintf(stdout, "operator's file is good: Gearman at %s, %d functions, %d workers\n",
+				op.Gearman.Listen, len(op.Gearman.Functions), len(op.Gearman.Workers))
+		}
 		return nil
 	case "serve":
 		return serve(ctx, o, env, stderr)
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -12,6 +12,7 @@
 	"reachcart/internal/clock"
 	"reachcart/internal/config"
 	"reachcart/internal/core"
+	"reachcart/internal/gearman"
 	"reachcart/internal/invariant"
 	"reachcart/internal/net/discovery"
 	"reachcart/internal/net/httpio"
@@ -38,7 +39,11 @@
 	}
 	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.Name)
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
-	s, err := assemble(cfg, log)
+	op, err := config.LoadOperator(o.operator, &cfg.Settings)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	s, err := assemble(cfg, op, clock.NewSystem(), log)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
@@ -46,8 +51,16 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	var gln net.Listener
+	if op != nil {
+		if gln, err = net.Listen("tcp", op.Gearman.Listen); err != nil {
+			ln.Close()
+			return fmt.Errorf("listen for gearman: %w", err)
+		}
+		log.Info("gearman front is on", "listen", gln.Addr(), "functions", len(op.Gearman.Functions), "workers", len(op.Gearman.Workers))
+	}
 	log.Info("start", "listen", ln.Addr(), "discovery", cfg.Discovery, "targets", len(cfg.Known.Endpoints), "memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets)
-	s.run(ctx, ln)
+	s.run(ctx, ln, gln)
 	log.Info("stop")
 	return nil
 }
@@ -61,16 +74,23 @@
 	targets  *target.Transport
 	watch    *discovery.Watcher
 	listener *listener.Listener
+	gearman  *gearman.Server // nil while that front is off
 }
 
 // sink breaks the circle between the core and the transports it is made with.
 type sink struct{ *core.Core }
 
 // assemble puts the parts together; nothing runs yet.
-func assemble(cfg *config.Config, log *slog.Logger) (*scheduler, error) {
-	clk, stack, inv := clock.NewSystem(), httpio.NewStack(), invariant.New()
+func assemble(cfg *config.Config, op *config.Operator, clk clock.Clock, log *slog.Logger) (*scheduler, error) {
+	stack, inv := httpio.NewStack(), invariant.New()
 	s := &scheduler{log: log, clock: clk, inv: inv}
-	places := max(16, cfg.Limits.Sockets-reserve)
+	places := cfg.Limits.Sockets - reserve
+	if op != nil {
+		places -= op.Gearman.Connections
+	}
+	if places < 16 {
+		return nil, fmt.Errorf("%d sockets are too few", cfg.Limits.Sockets)
+	}
 	back := &sink{}
 	s.targets = target.New(target.Config{Clock: clk, Log: log, Stack: stack, Sink: back, Host: "origin.svc",
 		Sockets: httpio.NewBudget(places * 2 / 5),
@@ -81,9 +101,17 @@
 	if err != nil {
 		log.Warn("entry of the known list passed over", "cause", err)
 	}
+	sources := []core.Source{{Name: "discovery", Transport: s.targets}}
+	if cfg.Discovery != "" {
+		sources[0].Watch = s.watch.Watch
+	}
+	if op != nil {
+		s.gearman = gearman.New(op.Gearman, fmt.Sprintf("%s-%x", cfg.Name, uint64(clk.Now())), back, clk, log, stack.Buffers)
+		sources = append(sources, core.Source{Name: gearman.Source, Transport: s.gearman})
+	}
 	s.core, err = core.New(core.Config{Settings: cfg.Settings, Seed: cfg.Seed, Clock: clk, Log: log, Invariants: inv,
 		ComeBack: comeBack, Known: map[string]core.Group{"discovery": known}},
-		core.Source{Name: "discovery", Transport: s.targets, Watch: s.watch.Watch})
+		sources...)
 	if err != nil {
 		return nil, err
 	}
@@ -97,7 +125,7 @@
 }
 
 // run serves until ctx ends, then goes on until all that was taken is answered.
-func (s *scheduler) run(ctx context.Context, ln net.Listener) {
+func (s *scheduler) run(ctx context.Context, ln, gln net.Listener) {
 	inner, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	defer all.Wait()
@@ -110,6 +138,13 @@
 			s.log.Error("listener ended", "cause", err)
 		}
 	})
+	if s.gearman != nil {
+		all.Go(func() {
+			if err := s.gearman.Serve(inner, gln); err != nil {
+				s.log.Error("gearman front ended", "cause", err)
+			}
+		})
+	}
 	s.listener.SetReady(true)
 	<-ctx.Done()
 	s.log.Info("winding down")
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+
+	"reachcart/balance"
+	"reachcart/internal/clock"
+	"reachcart/internal/gearman"
+)
+
+// Operator is the operator's file.
+type Operator struct {
+	Gearman gearman.Config `toml:"gearman"`
+}
+
+// LoadOperator reads the operator's file and checks it against the settings. Without a
+// path it returns nil: the Gearman front is off.
+func LoadOperator(path string, s *balance.Settings) (*Operator, error) {
+	if path == "" {
+		return nil, nil
+	}
+	o := &Operator{}
+	meta, err := toml.DecodeFile(path, o)
+	if err != nil {
+		return nil, fmt.Errorf("operator's file %s: %w", path, err)
+	}
+	if odd := meta.Undecoded(); len(odd) > 0 {
+		return nil, fmt.Errorf("operator's file %s: unknown key %s", path, odd[0])
+	}
+	if err := o.check(s); err != nil {
+		return nil, fmt.Errorf("operator's file %s: %w", path, err)
+	}
+	return o, nil
+}
+
+// check says what cannot be, and fills in what may be left out.
+func (o *Operator) check(s *balance.Settings) error {
+	g := &o.Gearman
+	if _, _, err := net.SplitHostPort(g.Listen); err != nil {
+		return fmt.Errorf("gearman.listen: %w", err)
+	}
+	if g.Connections < 0 {
+		return fmt.Errorf("gearman.connections is %d", g.Connections)
+	}
+	if g.Connections == 0 {
+		g.Connections = 128
+	}
+	if len(g.Functions) == 0 {
+		return fmt.Errorf("gearman.function: none is given")
+	}
+	for i := range g.Functions {
+		f := &g.Functions[i]
+		c := slices.IndexFunc(s.Classes, func(c balance.Class) bool { return c.Name == f.Class })
+		switch {
+		case f.Name == "" || strings.ContainsAny(f.Name, "\x00 \t\n"):
+			return fmt.Errorf("gearman.function %d has the impossible name %q", i+1, f.Name)
+		case slices.ContainsFunc(g.Functions[:i], func(x gearman.Function) bool { return x.Name == f.Name }):
+			return fmt.Errorf("gearman.function %q is there twice", f.Name)
+		case c < 0:
+			return fmt.Errorf("gearman.function %q: the settings have no class %q", f.Name, f.Class)
+		case f.Patience < 0 || f.Slots < 0:
+			return fmt.Errorf("gearman.function %q: patience_ms or slots is negative", f.Name)
+		case f.Path != "" && !strings.HasPrefix(f.Path, "/"):
+			return fmt.Errorf("gearman.function %q: path does not begin with a slash", f.Name)
+		}
+		if f.Patience == 0 {
+			f.Patience = clock.Millis(s.Classes[c].Deadline)
+		}
+		if f.Slots == 0 {
+			f.Slots = 1
+		}
+		if f.Path == "" {
+			f.Path = "/" + f.Class
+		}
+		f.Keyed = s.Classes[c].Effect == balance.Keyed
+	}
+	for i, w := range g.Workers {
+		switch {
+		case w.ID == "" || strings.ContainsAny(w.ID, "\x00 \t\n"):
+			return fmt.Errorf("gearman.worker %d has the impossible id %q", i+1, w.ID)
+		case slices.ContainsFunc(g.Workers[:i], func(x gearman.Worker) bool { return x.ID == w.ID }):
+			return fmt.Errorf("gearman.worker %q is there twice", w.ID)
+		case w.Zone == "" || w.Pod == "" || w.Kind == "":
+			return fmt.Errorf("gearman.worker %q needs zone, pod and kind", w.ID)
+		}
+	}
+	return nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -145,6 +145,9 @@
 		return
 	}
 	if e.group.Scope != balance.Changes {
+		for id := range s.members {
+			delete(c.targets, id)
+		}
 		clear(s.members)
 	}
 	ev := balance.Event{Kind: balance.Listed, List: e.group.Scope}
@@ -152,9 +155,10 @@
 		t.Started = clock.Duration(t.StartedMS)
 		if t.State == balance.Gone {
 			delete(s.members, t.ID)
+			delete(c.targets, t.ID)
 		} else {
 			s.members[t.ID] = t
-			c.targets[t.ID] = s // it stays known: a send may be on its way
+			c.targets[t.ID] = s
 		}
 		ev.Members = append(ev.Members, t.Member)
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -31,6 +31,9 @@
 	Key          string       // the key by which targets drop repeats, or empty
 	Type         string       // content type, or empty
 	Body         *buffer.Body // may be nil
+	Function     string       // the one that a target must have, or empty: any of the class
+	Unique       string       // by which the client knows a repeat, or empty
+	Priority     int          // among jobs put before the same target: higher goes first
 }
 
 // Listener is the client's side of a flow. Both calls come from the core's goroutine
@@ -60,10 +63,11 @@
 
 // Progress is news of a running attempt.
 type Progress struct {
-	Started  bool
-	Fraction float64 // share done, if not Started
-	Data     string  // a part of the result, if the target sends it early
-	Warning  bool    // Data is a warning
+	Started   bool
+	Fraction  float64 // share done, if not Started
+	Data      string  // a part of the result, if the target sends it early
+	Warning   bool    // Data is a warning
+	Exception bool    // Data is an exception
 }
 
 // Ref names an attempt: the flow's number and the attempt's within it.
