Play recorded exchanges against the program, Gearman's among them

They showed two faults. A Gearman worker has one slot, and while cold the module counted 0.15 to 1 of it, so wait() held every job back from it for 24 s: a cold worker now counts for at least one slot there; what it may be sent is still coldRoom's to bound. And an answer to a request that could not be read was lost to a reset, where bytes were left unread: such connections are now closed gently.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -625,10 +625,11 @@
 	return (w.ran + prior*b.pace()) / (w.expected + prior)
 }
 
-// wait is how long a job of so many slots would wait in w's queue.
+// wait is how long a job of so many slots would wait in w's queue. However cold, w runs one job at a time:
+// one with a single slot would else stand idle until it is warm. What it may be sent is coldRoom's to bound.
 func (b *Balancer) wait(now time.Duration, w *worker, slots float64) time.Duration {
-	n := b.slots(now, w)
-	return seconds(max(0, b.load(now, w)+slots-n) / max(n, 0.1) * b.runMean * b.slow(w))
+	n := max(1, b.slots(now, w))
+	return seconds(max(0, b.load(now, w)+slots-n) / n * b.runMean * b.slow(w))
 }
 
 func (b *Balancer) room(now time.Duration, r *request, w *worker) bool {
--- /dev/null
+++ b/balance/clock_test.go
@@ -0,0 +1,74 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// On sockets a prompt start is told within a millisecond. A wait of four such delays took
+// every job that queued for some milliseconds for lost in a queue, and moved it.
+func TestPromptStartsLeaveATicksPatience(t *testing.T) {
+	s := base()
+	s.Tick, s.TellsStart, s.Cancel = 5*ms, true, true
+	h := start(t, s, fleet(3)...)
+	for range 200 {
+		id, w := h.sent()
+		h.now += ms / 2
+		h.step(Event{Kind: Noted, Request: id, Worker: w, Started: true})
+		h.now += 20 * ms
+		h.end(id, w, OK, Report{})
+	}
+	id, _ := h.sent()
+	h.now += 25 * ms
+	if a := find(h.step(Event{Kind: TimerDue, Timer: id}), Cancel); a != nil {
+		t.Errorf("withdrawn after 25 ms: %+v", a)
+	}
+	h.now += 10 * ms
+	if a := find(h.step(Event{Kind: TimerDue, Timer: id}), Cancel); a == nil {
+		t.Error("not withdrawn after 35 ms")
+	}
+}
+
+// A real clock counts from 1970. The first job's distance from there is no gap between jobs:
+// taken for one, it kept a dispatcher to a few workers for its first hundreds of jobs.
+func TestFirstJobTellsOfNoGap(t *testing.T) {
+	h := start(t, base(), fleet(20)...)
+	h.now = 56 * 365 * 24 * time.Hour
+	h.request()
+	if h.b.gap > 1 {
+		t.Errorf("a gap of %g s after one job", h.b.gap)
+	}
+}
+
+// A worker that tells which classes it can run gets no others.
+func TestWorkersGetTheirClassesAlone(t *testing.T) {
+	s := base()
+	s.Classes = append(s.Classes, Class{Name: "d", Aim: 200 * ms, Stretch: 2, Deadline: 5 * time.Second, Worth: 1})
+	ms := fleet(3)
+	ms[0].Classes, ms[1].Classes, ms[2].Classes = ",d,", ",c,", ",d,"
+	h := start(t, s, ms...)
+	for range 20 {
+		id, w := h.sent()
+		if w != "w01" {
+			t.Fatalf("a job of class c went to %s", w)
+		}
+		h.end(id, w, OK, Report{})
+	}
+}
+
+// A worker with a single slot gets a job while it is cold: it would stand idle else until warm.
+func TestColdWorkerWithOneSlotIsUsed(t *testing.T) {
+	h := start(t, base())
+	m := fleet(1)
+	m[0].Started = h.now
+	h.step(Event{Kind: Listed, List: Changes, Members: m})
+	id, acts := h.request()
+	for range 300 {
+		if find(acts, Send) != nil {
+			return
+		}
+		h.now += 10 * ms
+		acts = h.step(Event{Kind: TimerDue, Timer: tickTimer})
+	}
+	t.Errorf("job %d was not sent in 3 s", id)
+}
--- /dev/null
+++ b/cmd/cottonwell/exchange_test.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"reachcart/internal/clock"
+	"reachcart/internal/config"
+	"reachcart/internal/gearman"
+)
+
+// wait is how long a test waits for what will come; it decides nothing unless something is broken.
+const wait = 8 * time.Second
+
+// program is the whole scheduler in this process, on a clock set by hand.
+type program struct {
+	t                       *testing.T
+	clock                   *clock.Manual
+	sched                   *scheduler
+	stop                    context.CancelFunc
+	names                   map[string]string // what stands for {NAME} in a script
+	lns                     map[string]net.Listener
+	listen, gearmanAt       string
+	done                    chan struct{}
+	conns                   map[string]net.Conn
+}
+
+func listenLoopback(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+func loadTestConfig(t *testing.T, discovery, targets string) *config.Config {
+	t.Helper()
+	data, err := os.ReadFile("testdata/config.json")
+	require.NoError(t, err)
+	text := strings.NewReplacer("DISCOVERY", discovery, "TARGETS", targets).Replace(string(data))
+	cfg, err := config.Parse([]byte(text))
+	require.NoError(t, err)
+	return cfg
+}
+
+// startProgram starts the scheduler. Scripts about Gearman know no HTTP target.
+func startProgram(t *testing.T, withGearman bool) *program {
+	p := &program{t: t, clock: clock.NewManual(1.7e12), conns: map[string]net.Conn{}, lns: map[string]net.Listener{},
+		names: map[string]string{}, done: make(chan struct{})}
+	for _, name := range []string{"discovery", "target", "other"} {
+		p.lns[name] = listenLoopback(t)
+		p.names[name] = p.lns[name].Addr().String()
+	}
+	entry := `{"name":"s-1","address":"` + p.names["target"] + `","zone":"colombo-1","type":"fast-4","group":3,"status":"SERVING","weight":1.0,"since_ms":0}`
+	var op *config.Operator
+	var gln net.Listener
+	if withGearman {
+		entry = ""
+	}
+	cfg := loadTestConfig(t, p.names["discovery"], entry)
+	var err error
+	if withGearman {
+		op, err = config.LoadOperator("testdata/operator.toml", &cfg.Settings)
+		require.NoError(t, err)
+		gln = listenLoopback(t)
+		p.gearmanAt = gln.Addr().String()
+	}
+	p.sched, err = assemble(cfg, op, p.clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	require.NoError(t, err)
+	ln := listenLoopback(t)
+	p.listen = ln.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	go func() {
+		defer close(p.done)
+		p.sched.run(ctx, ln, gln)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		for _, c := range p.conns {
+			c.Close()
+		}
+		for { // the time of grace passes as fast as the program asks for it
+			select {
+			case <-p.done:
+				require.Empty(t, p.sched.inv.Counts(), "broken invariants")
+				return
+			default:
+				p.clock.Advance(100)
+				time.Sleep(time.Millisecond)
+			}
+		}
+	})
+	return p
+}
+
+// until waits for something that will come true; it never decides that it won't before long.
+func (p *program) until(what string, ok func() bool) {
+	p.t.Helper()
+	require.Eventually(p.t, ok, wait, time.Millisecond, what)
+}
+
+func unescape(t *testing.T, s string) string {
+	t.Helper()
+	out, err := strconv.Unquote(`"` + strings.ReplaceAll(s, `"`, `\"`) + `"`)
+	require.NoError(t, err, s)
+	return out
+}
+
+// play plays a script. Each line is NAME VERB TEXT:
+//
+//	connect, accept, close, eof       for a connection; 'connect gearman' for the second front
+//	> TEXT, < TEXT                    a line is sent, or expected
+//	>. TEXT, <. TEXT                  the same without the line's end
+//	>p TYPE TEXT, <p TYPE TEXT        a Gearman packet; >. also takes \x00 and the like
+//	clock +MS                         time passes
+//	books NAME N                      wait until that count of the core is N
+func (p *program) play(script string) {
+	t := p.t
+	var want bytes.Buffer
+	var from string
+	check := func() {
+		if want.Len() == 0 {
+			return
+		}
+		got := make([]byte, want.Len())
+		require.NoError(t, p.conns[from].SetReadDeadline(time.Now().Add(wait)))
+		n, err := io.ReadFull(p.conns[from], got)
+		require.Equal(t, want.String(), string(got[:n]), "%s (%v)", from, err)
+		want.Reset()
+	}
+	for i, line := range strings.Split(script, "\n") {
+		for name, v := range p.names {
+			line = strings.ReplaceAll(line, "{"+name+"}", v)
+		}
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, rest, _ := strings.Cut(line, " ")
+		verb, text, _ := strings.Cut(rest, " ")
+		if name != from || !strings.HasPrefix(verb, "<") {
+			check()
+		}
+		from = name
+		c := p.conns[name]
+		var out string
+		switch verb {
+		case "connect":
+			at := p.listen
+			if text == "gearman" {
+				at = p.gearmanAt
+			}
+			nc, err := net.Dial("tcp", at)
+			require.NoError(t, err)
+			p.conns[name] = nc
+		case "accept":
+			ln, _, _ := strings.Cut(name, "-")
+			nc, err := p.lns[ln].Accept()
+			require.NoError(t, err)
+			p.conns[name] = nc
+		case "shut":
+			require.NoError(t, p.lns[name].Close())
+		case "close":
+			require.NoError(t, c.Close())
+		case "reset":
+			require.NoError(t, c.(*net.TCPConn).SetLinger(0))
+			require.NoError(t, c.Close())
+		case "eof":
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(wait)))
+			left, err := io.ReadAll(c)
+			require.NoError(t, err)
+			require.Empty(t, string(left), "line %d: more than expected", i+1)
+		case ">":
+			out = unescape(t, text) + "\r\n"
+		case ">.":
+			out = unescape(t, text)
+		case "<":
+			want.WriteString(unescape(t, text) + "\r\n")
+		case "<.":
+			want.WriteString(unescape(t, text))
+		case ">p", "<p":
+			typ, args, _ := strings.Cut(text, " ")
+			n, err := strconv.Atoi(typ)
+			require.NoError(t, err)
+			if verb == ">p" {
+				out = string(gearman.Request(gearman.Type(n), unescape(t, args)))
+			} else {
+				want.Write(gearman.Response(gearman.Type(n), unescape(t, args)))
+			}
+		default:
+			switch name {
+			case "clock":
+				ms, err := strconv.ParseFloat(verb, 64)
+				require.NoError(t, err)
+				p.clock.Advance(ms)
+			case "books":
+				n, err := strconv.Atoi(text)
+				require.NoError(t, err)
+				p.until(line, func() bool {
+					b := p.sched.core.Books()
+					return map[string]int{"taken": b.Taken, "left": b.Left, "served": b.Served, "refused": b.Refused, "failed": b.Failed,
+						"sends": b.Sends, "targets": b.Targets, "late": b.Dropped["news of an attempt that is over"], "open": b.Open}[verb] == n
+				})
+			case "wind": // the program is told to stop
+				p.stop()
+				p.until("not ready", func() bool { return !p.sched.listener.Ready() })
+			default:
+				require.Fail(t, "no such line", "%d: %s", i+1, line)
+			}
+		}
+		if out != "" {
+			_, err := io.WriteString(c, out)
+			require.NoError(t, err)
+		}
+	}
+	check()
+}
+
+// TestExchanges plays the recorded exchanges against the program. What each of them guards
+// against stands at its top.
+func TestExchanges(t *testing.T) {
+	files, err := filepath.Glob("testdata/exchanges/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), ".txt")
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			data, err := os.ReadFile(f)
+			require.NoError(t, err)
+			startProgram(t, strings.HasPrefix(name, "gearman")).play(string(data))
+		})
+	}
+}
+
+func TestBadUseIsOneLineAndExit2(t *testing.T) {
+	env := func(string) string { return "" }
+	for _, args := range [][]string{{}, {"dance"}, {"serve", "--nope"}, {"serve", "x"}, {"check"}, {"serve", "-c", "/nonexistent"},
+		{"serve", "--log", "loud"}} {
+		var out, errs bytes.Buffer
+		require.Equal(t, 2, run(context.Background(), args, env, &out, &errs), fmt.Sprint(args))
+		require.Equal(t, 1, strings.Count(errs.String(), "\n"), errs.String())
+		require.Empty(t, out.String())
+	}
+	var out, errs bytes.Buffer
+	require.Equal(t, 0, run(context.Background(), []string{"version"}, env, &out, &errs))
+	require.Contains(t, out.String(), "cottonwell ")
+}
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -56,11 +56,12 @@
 }
 
 const (
-	idleFor  = 3_600_000.0 // milliseconds: a sleeping worker may stay silent for long
-	packetIn = 10_000.0    // from a packet's first byte to its last
-	writeFor = 5_000.0
-	outbox   = 512 // packets that a connection may be behind
-	version  = "cottonwell"
+	idleFor   = 3_600_000.0 // milliseconds: a sleeping worker may stay silent for long
+	packetIn  = 10_000.0    // from a packet's first byte to its last
+	writeFor  = 5_000.0
+	lingerFor = 1_000.0 // for the other side to read why its packet is no packet
+	outbox    = 512     // packets that a connection may be behind
+	version   = "cottonwell"
 )
 
 // Server is the Gearman front. It is a listener and a target transport at once.
@@ -172,10 +173,12 @@
 	if code, text, ok := strings.Cut(errText(err), " "); ok && isProtocol(err) {
 		s.log.Warn("bad packet", "peer", nc.RemoteAddr(), "cause", code)
 		c.send(outgoing{data: Response(Error, code, text), last: true})
+		<-c.gone
+		httpio.CloseGently(nc, s.clock.Deadline(lingerFor))
 	} else {
 		close(stop)
+		<-c.gone
 	}
-	<-c.gone
 	c.Close()
 	s.mu.Lock()
 	delete(s.conns, c)
--- a/internal/net/httpio/httpio.go
+++ b/internal/net/httpio/httpio.go
@@ -213,3 +213,14 @@
 
 // Tight says whether under a fifth of the places is left.
 func (b *Budget) Tight() bool { return len(b.slots)*5 > cap(b.slots)*4 }
+
+// CloseGently closes a connection on which the other side may still be writing. To close
+// it with bytes unread would reset it, and the last answer could be lost on the way.
+func CloseGently(c net.Conn, deadline time.Time) {
+	defer c.Close()
+	tcp, ok := c.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || c.SetReadDeadline(deadline) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(c, maxOnTheAir)) // whatever it was, nobody wants it
+}
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -20,10 +20,11 @@
 )
 
 const (
-	idleFor  = 120_000.0 // milliseconds that a connection may stand idle
-	readFor  = 10_000.0  // for a request, from its first byte to its last
-	writeFor = 5_000.0
-	spare    = 5_000.0 // how much longer than its client's patience a flow may take before its connection is dropped
+	idleFor   = 120_000.0 // milliseconds that a connection may stand idle
+	readFor   = 10_000.0  // for a request, from its first byte to its last
+	writeFor  = 5_000.0
+	lingerFor = 1_000.0 // for a client to read why its request is no request
+	spare     = 5_000.0 // how much longer than its client's patience a flow may take before its connection is dropped
 )
 
 // Scheduler is what the listener needs of the core.
@@ -159,6 +160,7 @@
 		req, body, err := c.ReadRequest(l.Clock.Deadline(readFor))
 		if err != nil {
 			l.reject(c, err)
+			httpio.CloseGently(c.Conn, l.Clock.Deadline(lingerFor))
 			return
 		}
 		if !l.answer(c, req, body) {
@@ -306,3 +308,6 @@
 	_, err := c.Send(h, body, l.Clock.Deadline(writeFor))
 	return err == nil
 }
+
+// Ready says what the readiness page answers.
+func (l *Listener) Ready() bool { return l.ready.Load() }
