--- a/balance/api.go
+++ b/balance/api.go
@@ -207,6 +207,7 @@
 	Hint     time.Duration // expected work, 0 when unknown
 	Slots    float64
 	Repeat   bool
+	First    bool // surely no later try, whatever its budget
 	List     ListScope
 	Members  []Member
 	Timer    uint64
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -297,8 +297,11 @@
 	}
 	// A budget under the usual one is what is left to a later try. Where each try has only a part of the
 	// deadline, first tries would else be taken for old ones and refused.
-	if c.budget = max(c.budget, ev.Budget); ev.Budget < c.budget*49/50 && (ev.Repeat || !b.s.MarksRepeat) {
-		r.arrived = now - max(0, c.Deadline-ev.Budget)
+	if !ev.First {
+		c.budget = max(c.budget, ev.Budget)
+		if ev.Budget < c.budget*49/50 && (ev.Repeat || !b.s.MarksRepeat) {
+			r.arrived = now - max(0, c.Deadline-ev.Budget)
+		}
 	}
 	r.answerBy = now + max(0, ev.Budget-2*b.s.Tick)
 	b.estimate(r)
--- a/balance/clock_test.go
+++ b/balance/clock_test.go
@@ -72,3 +72,20 @@
 	}
 	t.Errorf("job %d was not sent in 3 s", id)
 }
+
+// A front whose clients never try again has budgets of its own. Taken for what is left to a
+// later try, a shorter one was refused at once; a longer one did that to all the other front's.
+func TestFirstTriesMayHaveAnyBudget(t *testing.T) {
+	for _, budget := range []time.Duration{4 * time.Second, 10 * time.Second} {
+		h := start(t, base(), fleet(3)...)
+		id, w := h.sent()
+		h.end(id, w, OK, Report{})
+		acts := h.step(Event{Kind: Arrived, Request: 1000, Class: "c", Budget: budget, Slots: 1, First: true})
+		if h.b.reqs[1000].arrived != h.now || find(acts, Send) == nil {
+			t.Errorf("a first try with %v was taken for a later one", budget)
+		}
+		if id, _ := h.sent(); h.b.reqs[id].arrived != h.now {
+			t.Errorf("after a first try with %v the others' are taken for later ones", budget)
+		}
+	}
+}
--- a/cmd/cottonwell/exchange_test.go
+++ b/cmd/cottonwell/exchange_test.go
@@ -26,15 +26,15 @@
 
 // program is the whole scheduler in this process, on a clock set by hand.
 type program struct {
-	t                       *testing.T
-	clock                   *clock.Manual
-	sched                   *scheduler
-	stop                    context.CancelFunc
-	names                   map[string]string // what stands for {NAME} in a script
-	lns                     map[string]net.Listener
-	listen, gearmanAt       string
-	done                    chan struct{}
-	conns                   map[string]net.Conn
+	t                 *testing.T
+	clock             *clock.Manual
+	sched             *scheduler
+	stop              context.CancelFunc
+	names             map[string]string // what stands for {NAME} in a script
+	lns               map[string]net.Listener
+	listen, gearmanAt string
+	done              chan struct{}
+	conns             map[string]net.Conn
 }
 
 func listenLoopback(t *testing.T) net.Listener {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -21,6 +21,7 @@
 	Slots    float64
 	Hint     float64 // expected work in milliseconds, 0 when unknown
 	Repeat   bool    // the client marks it as a later try
+	First    bool    // the front knows that it is none
 	Job      Job
 	From     Listener
 }
--- a/internal/gearman/clients.go
+++ b/internal/gearman/clients.go
@@ -76,7 +76,7 @@
 		s.finish(j, core.Answer{Kind: core.Failed})
 		return nil
 	}
-	r := &core.Request{ID: j.id, Class: f.Class, Tenant: f.Tenant, Subject: unique, Patience: f.Patience, Slots: f.Slots, From: j,
+	r := &core.Request{ID: j.id, Class: f.Class, Tenant: f.Tenant, Subject: unique, Patience: f.Patience, Slots: f.Slots, First: true, From: j,
 		Job: core.Job{Method: "POST", Path: f.Path, Type: "application/octet-stream", Body: body, Priority: priority, Function: name, Unique: unique}}
 	if f.Keyed {
 		r.Job.Key = unique
