Keep a given-up attempt from closing a connection that is in use again

A 202 that came in between had put that connection back into the pool, and the next request on it would have ended as a reset. An attempt given up before its 202 could also be told as a reset first, which ejects a worker. Both are now decided under the attempt's lock. Answers given after SIGTERM carry Connection: close.

--- a/cmd/cottonwell/rules_test.go
+++ b/cmd/cottonwell/rules_test.go
@@ -102,6 +102,12 @@
 	}
 }
 
+func (r *rules) count(kind string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.begun[kind]
+}
+
 func (r *rules) answered(body, result string, served bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -303,21 +309,28 @@
 		entries = append(entries, fmt.Sprintf(`{"name":%q,"address":%q,"zone":"colombo-1","type":"fast-4","group":%s,"status":"SERVING","weight":1,"since_ms":0}`,
 			name, strings.TrimPrefix(s.URL, "http://"), pod))
 	}
-	drain := make(chan struct{})
+	drain := make(chan []int) // entries that are told to drain
 	disc := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		fmt.Fprintf(w, "{\"index\":41,\"snapshot\":true,\"endpoints\":[%s]}\n", strings.Join(entries, ","))
 		w.(http.Flusher).Flush()
-		select {
-		case <-drain:
-		case <-req.Context().Done():
-			return
+		for index := 42; ; index++ {
+			var told []string
+			select {
+			case which := <-drain:
+				for _, i := range which {
+					told = append(told, strings.Replace(entries[i], "SERVING", "DRAINING", 1))
+				}
+				fmt.Fprintf(w, "{\"index\":%d,\"snapshot\":false,\"endpoints\":[%s]}\n", index, strings.Join(told, ","))
+				w.(http.Flusher).Flush()
+				r.mu.Lock()
+				for _, i := range which {
+					r.drained[fmt.Sprintf("s-%d", i+1)] = time.Now()
+				}
+				r.mu.Unlock()
+			case <-req.Context().Done():
+				return
+			}
 		}
-		fmt.Fprintf(w, "{\"index\":42,\"snapshot\":false,\"endpoints\":[%s]}\n", strings.Replace(entries[1], "SERVING", "DRAINING", 1))
-		w.(http.Flusher).Flush()
-		r.mu.Lock()
-		r.drained["s-2"] = time.Now()
-		r.mu.Unlock()
-		<-req.Context().Done()
 	}))
 	t.Cleanup(disc.Close)
 
@@ -347,9 +360,12 @@
 		clients.Go(func() { gearmanClient(t, r, gln.Addr().String(), part+"-view", "view", each) })
 		clients.Go(func() { gearmanClient(t, r, gln.Addr().String(), part+"-buy", "buy", each) })
 		clients.Wait()
-		if i == 0 {
-			close(drain)
-		}
+		drain <- [][]int{{1}, {0, 2}}[i]
+	}
+	// Only Gearman's workers are left, cold ones: each job goes to them or is refused.
+	jobs := 2 * 8 * each
+	for give := time.Now().Add(2 * wait); r.count("gearman") < 4 && time.Now().Before(give); jobs++ {
+		httpClient(t, r, at, fmt.Sprintf("last-%d", jobs), "shop-view", 1)
 	}
 	stop()
 	<-done
@@ -359,11 +375,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	require.Empty(t, r.broken)
-	require.Len(t, r.requests, 2*8*each)
+	require.Len(t, r.requests, jobs)
 	for body, q := range r.requests {
 		require.Equal(t, 1, q.answers, body)
 	}
 	require.Empty(t, s.inv.Counts(), "broken invariants")
 	require.Positive(t, r.begun["http"])
-	require.Positive(t, r.begun["gearman"], "no job went to a Gearman worker")
+	require.GreaterOrEqual(t, r.begun["gearman"], 4, "two workers that vanish, and two jobs more")
 }
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -252,7 +252,8 @@
 		next <- nil
 	}
 	p := fixedResponse(a)
-	p.close = last || l.closing.Load() || l.Sockets.Tight()
+	// While winding down, an answer is the best moment to part: no request can cross the closing.
+	p.close = last || !l.ready.Load() || l.closing.Load() || l.Sockets.Tight()
 	if !l.reply(c, p) || p.close {
 		c.Close() // ends Await
 		<-next
--- a/internal/net/target/target.go
+++ b/internal/net/target/target.go
@@ -123,7 +123,7 @@
 	waiting stage = iota // for a connection
 	writing              // the target may have the last byte
 	over                 // answered, or broken
-	quit                 // given up before it was written: nothing goes out
+	quit                 // given up: nothing goes out any more, and nothing is heard
 )
 
 // attempt is an attempt until its 202.
@@ -223,6 +223,12 @@
 			return httpio.BrokenBefore, none
 		}
 		resp, rb, err := c.ReadResponse(a.Job.Method, t.Clock.Deadline(a.Deadline-t.Clock.Now()+lateFor))
+		// From here on nobody may close the connection for this attempt's sake: it goes back to the
+		// pool, and the next request on it would break.
+		if !a.enter(over, nil) {
+			t.discard(c)
+			return "", none // giveUp tells of it
+		}
 		if err != nil {
 			t.discard(c)
 			var netErr net.Error
@@ -256,18 +262,20 @@
 	if at != nil {
 		at.mu.Lock()
 		was, c := at.stage, at.conn
-		if was == waiting {
+		if was == waiting || was == writing {
 			at.stage = quit
 		}
+		if was == writing {
+			// Before the 202, to close the connection gives the attempt up, and it cannot overtake
+			// the request as a DELETE on another connection could.
+			c.Close()
+		}
 		at.mu.Unlock()
 		switch was {
 		case waiting:
 			t.end(a.Ref, httpio.GivenUp, balance.Report{})
 			return
 		case writing:
-			// Before the 202, to close the connection gives the attempt up, and it cannot overtake
-			// the request as a DELETE on another connection could.
-			c.Close()
 			t.wait(settle)
 			t.end(a.Ref, httpio.GivenUp, balance.Report{})
 			return
