Tests for the core, the transport, the watch, configuration and clock; Gearman winds down

After SIGTERM a Gearman client that stayed on its connection could have kept the program from its end by submitting on and on; submits now get ERROR shutting_down once the time of grace is over.

--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -151,6 +151,9 @@
 	s.listener.SetReady(false)
 	s.sleep(graceFor)
 	s.listener.Wind()
+	if s.gearman != nil {
+		s.gearman.Wind() // or clients that stay on their connections would keep the program from its end
+	}
 	for {
 		<-s.core.Idle()
 		if s.listener.Busy() == 0 {
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,72 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"reachcart/balance"
+)
+
+func load(t *testing.T) *Config {
+	data, err := os.ReadFile("../../cmd/cottonwell/testdata/config.json")
+	require.NoError(t, err)
+	c, err := Parse([]byte(strings.Replace(string(data), "TARGETS", "", 1)))
+	require.NoError(t, err)
+	return c
+}
+
+func TestSettingsComeThrough(t *testing.T) {
+	s := load(t).Settings
+	require.Equal(t, 5*time.Millisecond, s.Tick)
+	require.True(t, s.ReportsFree, "a space in a value becomes an underscore, as on the wire")
+	require.True(t, s.TellsStart && s.Subscribe && s.Cancel)
+	require.Equal(t, 7500*time.Millisecond, s.Classes[1].Window)
+	require.Equal(t, balance.ScopeCell, s.Classes[1].Scope)
+	require.Equal(t, 2.5, s.Classes[1].Stretch)
+}
+
+func TestFlatten(t *testing.T) {
+	for _, c := range []struct {
+		in   map[string]any
+		want []string
+	}{
+		{map[string]any{"a": map[string]any{"b": true, "none": nil}}, []string{"a.b=true"}},
+		{map[string]any{"l": []any{"x y", "u,v"}}, []string{"l=x_y,u_v"}},
+		{map[string]any{"l": []any{map[string]any{"n": "q"}, map[string]any{}}}, []string{"l.0.n=q", "l.count=2"}},
+		{map[string]any{"f": 0.25, "i": 3e6}, []string{"f=0.25", "i=3000000"}},
+	} {
+		got, err := Flatten(c.in)
+		require.NoError(t, err)
+		require.Equal(t, c.want, got)
+	}
+	_, err := Flatten(map[string]any{"a": struct{}{}})
+	require.ErrorContains(t, err, "a: a value of an unknown form")
+}
+
+func TestOperatorsFile(t *testing.T) {
+	s := load(t).Settings
+	op, err := LoadOperator("../../deploy/operator.toml", &s)
+	require.NoError(t, err)
+	require.True(t, op.Gearman.Functions[1].Keyed)
+	require.Equal(t, "/purchase", op.Gearman.Functions[1].Path)
+	none, err := LoadOperator("", &s)
+	require.NoError(t, err)
+	require.Nil(t, none)
+	for text, want := range map[string]string{
+		"":                                "gearman.listen",
+		"[gearman]\nlisten = ':1'\nx = 1": "unknown key",
+		"[gearman]\nlisten = ':1'":        "none is given",
+		"[gearman]\nlisten = ':1'\n[[gearman.function]]\nname = 'f'\nclass = 'dance'":                                  `no class "dance"`,
+		"[gearman]\nlisten = ':1'\n[[gearman.function]]\nname = 'f'\nclass = 'purchase'\n[[gearman.worker]]\nid = 'w'": "needs zone, pod and kind",
+	} {
+		f := filepath.Join(t.TempDir(), "o.toml")
+		require.NoError(t, os.WriteFile(f, []byte(text), 0o600))
+		_, err := LoadOperator(f, &s)
+		require.ErrorContains(t, err, want, text)
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,203 @@
+package core
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"reachcart/balance"
+	"reachcart/internal/buffer"
+	"reachcart/internal/clock"
+	"reachcart/internal/invariant"
+)
+
+// bench is a core on a clock set by hand, with a transport that only writes down what it
+// is asked to do. The core's goroutine is not started: events are applied one by one.
+type bench struct {
+	t       *testing.T
+	clock   *clock.Manual
+	core    *Core
+	started []Attempt
+	stopped []Attempt
+	answers []Answer
+	news    []Progress
+}
+
+func (b *bench) Start(a Attempt)     { b.started = append(b.started, a) }
+func (b *bench) Cancel(a Attempt)    { b.stopped = append(b.stopped, a) }
+func (b *bench) Probe(string)        {}
+func (b *bench) Listed(Group)        {}
+func (b *bench) Answer(a Answer)     { b.answers = append(b.answers, a) }
+func (b *bench) Progress(p Progress) { b.news = append(b.news, p) }
+
+func newBench(t *testing.T, targets int) *bench {
+	b := &bench{t: t, clock: clock.NewManual(1.7e12)}
+	s := balance.Settings{Fleet: 1, Zone: "a", Tick: 5 * time.Millisecond, MaxAttempts: 3, TellsStart: true, Cancel: true,
+		AnswerSlack: 20 * time.Millisecond, ColdFrom: 0.3, ColdFor: 10 * time.Second, FallMultiple: 3, FallWindow: time.Second,
+		Classes: []balance.Class{{Name: "c", Aim: 200 * time.Millisecond, Stretch: 2, Deadline: 5 * time.Second, Worth: 1},
+			{Name: "k", Effect: balance.Keyed, Scope: balance.ScopeCell, Window: 7500 * time.Millisecond, Aim: 200 * time.Millisecond,
+				Stretch: 2, Deadline: 5 * time.Second, Worth: 1}}}
+	known := Group{}
+	for i := range targets {
+		known.Targets = append(known.Targets, Target{Member: balance.Member{ID: string(rune('a' + i)), Zone: "a", Cell: string(rune('1' + i))}})
+	}
+	var err error
+	b.core, err = New(Config{Settings: s, Seed: 1, Clock: b.clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Invariants: invariant.New(), ComeBack: 1000, MaxOpen: 5}, Source{Name: "test", Transport: b})
+	require.NoError(t, err)
+	known.Scope = balance.FromDisk
+	b.do(listed{"test", known})
+	return b
+}
+
+func (b *bench) do(e event) {
+	e.apply(b.core)
+	b.core.route()
+}
+
+func (b *bench) pass(ms float64) {
+	b.clock.Advance(ms)
+	for b.core.timers.due(b.clock.Now(), b.core.ring) {
+		b.core.route()
+	}
+}
+
+func (b *bench) take(id, class string) {
+	b.do(takeIn{&Request{ID: id, Class: class, Patience: 5000, Slots: 1, From: b}, b.clock.Now()})
+}
+
+func TestOneFinalAnswerAndLateNewsIsDropped(t *testing.T) {
+	b := newBench(t, 1)
+	b.take("x", "c")
+	require.Len(t, b.started, 1)
+	b.do(news{TargetNews{ID: "x", From: "a", Result: balance.OK, Body: "first"}})
+	b.do(news{TargetNews{ID: "x", From: "a", Result: balance.OK, Body: "second"}})
+	b.do(ended{Outcome{Ref: b.started[0].Ref, Result: balance.Failed}})
+	require.Equal(t, []Answer{{Kind: Served, Body: "first"}}, b.answers)
+	require.Equal(t, map[string]int{"news of an attempt that is over": 1, "outcome of an attempt that is over": 1}, b.core.books.Dropped)
+	require.Empty(t, b.core.flows)
+	require.Empty(t, b.core.byID)
+}
+
+// A target's word about another's attempt, or about one that was sent elsewhere since, is not
+// the flow's outcome: served by it, the client would get what the flow no longer stands for.
+func TestNewsOfAnotherTargetIsNotHeard(t *testing.T) {
+	b := newBench(t, 2)
+	b.take("x", "c")
+	other := map[string]string{"a": "b", "b": "a"}[b.started[0].Target]
+	b.do(news{TargetNews{ID: "x", From: other, Result: balance.OK, Body: "no"}})
+	require.Empty(t, b.answers)
+}
+
+func TestOneAttemptOutAtATime(t *testing.T) {
+	b := newBench(t, 2)
+	b.take("x", "c")
+	b.pass(100) // not started: the module withdraws it
+	require.Len(t, b.stopped, 1)
+	require.Len(t, b.started, 1, "nothing follows until the target knows that it was given up")
+	b.do(ended{Outcome{Ref: b.started[0].Ref, Result: balance.Cancelled}})
+	b.pass(20)
+	require.Len(t, b.started, 2)
+}
+
+// What the rules forbid is not sent, whatever the module says.
+func TestForbiddenSendsEndAtOnce(t *testing.T) {
+	if invariantsPanic() {
+		t.Skip("a debug build stops there")
+	}
+	b := newBench(t, 2)
+	b.take("x", "c")
+	b.core.act(&balance.Action{Kind: balance.Send, Request: 1, Worker: "a"})
+	require.Len(t, b.started, 1)
+	require.Equal(t, map[string]int{"two-attempts-out": 1}, b.core.inv.Counts())
+	require.Equal(t, balance.NeverSent, b.core.steps[0].Result)
+}
+
+func invariantsPanic() (yes bool) {
+	defer func() { yes = recover() != nil }()
+	invariant.New().Check(false, "probe", "")
+	return false
+}
+
+func TestRefusalIsAnsweredAtOnceAndSaysWhenToComeBack(t *testing.T) {
+	b := newBench(t, 1)
+	b.take("x", "k")
+	for range 3 {
+		b.do(ended{Outcome{Ref: b.started[len(b.started)-1].Ref, Result: balance.NoConnection}})
+		b.pass(10)
+	}
+	require.Equal(t, []Answer{{Kind: Refused, RetryAfter: 1000}}, b.answers)
+}
+
+func TestKeyedThatMayHaveRunIsNotRefused(t *testing.T) {
+	b := newBench(t, 2)
+	b.take("x", "k")
+	b.do(ended{Outcome{Ref: b.started[0].Ref, Result: balance.Reset}})
+	b.pass(10)
+	for _, a := range b.started {
+		require.Equal(t, b.started[0].Target, a.Target, "another pod")
+	}
+	b.pass(5000)
+	require.Len(t, b.answers, 1)
+	require.Equal(t, Failed, b.answers[0].Kind)
+}
+
+func TestAttemptEndsWithItsClientsPatience(t *testing.T) {
+	b := newBench(t, 1)
+	b.take("x", "c")
+	b.do(news{TargetNews{ID: "x", From: "a", Progress: &Progress{Started: true}}})
+	b.pass(4995)
+	require.Len(t, b.answers, 1)
+	require.NotEqual(t, Served, b.answers[0].Kind)
+	b.pass(10)
+	require.Len(t, b.stopped, 1)
+	require.Empty(t, b.core.flows)
+}
+
+func TestAdmission(t *testing.T) {
+	b := newBench(t, 0)
+	body, err := buffer.NewPool().FromBytes([]byte("x"))
+	require.NoError(t, err)
+	b.take("x", "c")
+	b.do(takeIn{&Request{ID: "x", Class: "c", Patience: 5000, From: b, Job: Job{Body: body}}, b.clock.Now()})
+	require.Equal(t, []Answer{{Kind: Failed}}, b.answers, "the id is in use")
+	require.Zero(t, body.Len(), "its body was given back")
+	for _, id := range []string{"2", "3", "4", "5", "6"} {
+		b.take(id, "c")
+	}
+	require.Equal(t, Answer{Kind: Refused, RetryAfter: 1000}, b.answers[1], "too many are open")
+	b.take("7", "dance")
+	require.Len(t, b.answers, 3)
+	b.do(left{&Request{ID: "x", From: b}})
+	require.Equal(t, 1, b.core.books.Left)
+	require.Len(t, b.answers, 3, "who left gets no answer")
+}
+
+// A source that tells its whole list says nothing of the other source's targets.
+func TestWholeListKeepsOtherSources(t *testing.T) {
+	b := newBench(t, 1)
+	b.core.sources["second"] = &source{Source: Source{Name: "second", Transport: b}, members: map[string]Target{}}
+	b.do(listed{"second", Group{Scope: balance.Changes, Targets: []Target{{Member: balance.Member{ID: "z", Zone: "a"}}}}})
+	b.do(listed{"test", Group{Scope: balance.Whole}})
+	b.take("x", "c")
+	require.Equal(t, "z", b.started[0].Target)
+}
+
+func TestRunEndsAndTellsWhenIdle(t *testing.T) {
+	b := newBench(t, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { b.core.Run(ctx); close(done) }()
+	b.core.TakeIn(&Request{ID: "x", Class: "c", Patience: 5000, Slots: 1, From: b})
+	idle := b.core.Idle()
+	require.Equal(t, 1, b.core.Books().Open)
+	b.core.News(TargetNews{ID: "x", From: "a", Result: balance.OK})
+	<-idle
+	cancel()
+	<-done
+	b.core.TakeIn(&Request{ID: "y"}) // nobody listens, and nothing blocks
+}
--- a/internal/gearman/clients.go
+++ b/internal/gearman/clients.go
@@ -48,6 +48,11 @@
 	priority := map[Type]int{SubmitJobHigh: high, SubmitJobHighBG: high, SubmitJobLow: low, SubmitJobLowBG: low}[p.Type]
 
 	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		c.respond(Error, "shutting_down", "this scheduler stops; submit to another")
+		return nil
+	}
 	join := name + "\x00" + unique
 	j := s.joined[join]
 	fresh := j == nil || unique == ""
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -77,6 +77,7 @@
 	// mu guards what follows. It is never held while the core is called: the core's
 	// goroutine may be waiting for it.
 	mu      sync.Mutex
+	closing bool // no job is taken any more
 	conns   map[*conn]bool
 	jobs    map[string]*job // by handle
 	joined  map[string]*job // by function and unique
@@ -187,6 +188,13 @@
 	s.clientGone(c)
 }
 
+// Wind ends the taking of jobs; those that were taken go on, and workers stay.
+func (s *Server) Wind() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
--- /dev/null
+++ b/internal/net/discovery/discovery_test.go
@@ -0,0 +1,61 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"reachcart/balance"
+	"reachcart/internal/clock"
+	"reachcart/internal/core"
+	"reachcart/internal/net/httpio"
+)
+
+// A watch goes on from the last version it has read. After a line that cannot be read, what
+// it changed is unknown: only the whole list mends that.
+func TestWatchGoesOnWhereItWas(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	groups := make(chan core.Group, 9)
+	w := New(Watcher{Address: ln.Addr().String(), Clock: clock.NewManual(1), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Stack: httpio.NewStack(), From: 41, Tell: func(g core.Group) { groups <- g }})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { w.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	for _, round := range []struct{ from, status, text string }{
+		{"41", "200 OK", `{"index":43,"snapshot":false,"endpoints":[{"name":"a","status":"SERVING"},{"status":"SERVING"},{"name":"b","status":"ODD"}]}` + "\n\n"},
+		{"43", "503 Service Unavailable", ""},
+		{"43", "200 OK", "{not a list}\n"},
+		{"", "200 OK", `{"index":50,"snapshot":true,"endpoints":[]}` + "\n"},
+	} {
+		w.Watch()
+		c, err := ln.Accept()
+		require.NoError(t, err)
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		require.NoError(t, err)
+		require.Equal(t, round.from, req.URL.Query().Get("from"))
+		require.Equal(t, "1", req.URL.Query().Get("watch"))
+		_, err = fmt.Fprintf(c, "HTTP/1.1 %s\r\nConnection: close\r\n\r\n%s", round.status, round.text)
+		require.NoError(t, err)
+		if round.from == "41" {
+			g := <-groups
+			require.Equal(t, balance.Changes, g.Scope)
+			require.Len(t, g.Targets, 2, "an entry without a name is passed over")
+			require.Equal(t, balance.Draining, g.Targets[1].State, "nothing is sent where the status is unknown")
+		}
+		if round.from == "" {
+			require.Equal(t, balance.Whole, (<-groups).Scope)
+		}
+		c.Close()
+		require.Equal(t, balance.AskFailed, (<-groups).Scope, "the end of a watch is told")
+	}
+}
--- /dev/null
+++ b/internal/net/httpio/httpio_test.go
@@ -0,0 +1,96 @@
+package httpio
+
+import (
+	"errors"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"reachcart/balance"
+	"reachcart/internal/buffer"
+)
+
+// Which exchanges prove that an attempt never ran decides whether a purchase may leave its
+// pod: the protocol's table, word for word.
+func TestWhatProvesThatItNeverRan(t *testing.T) {
+	never := map[Exchange]bool{JobReturned: true, TurnedAway: true, NotConnected: true, BrokenBefore: true, NotBegun: true}
+	for _, r := range table() {
+		proof := r.result == balance.Full || r.result == balance.NoConnection || r.result == balance.NeverSent
+		require.Equal(t, never[r.back], proof, string(r.back))
+	}
+	require.Equal(t, Status500, Answered(503, false), "a 503 that says no more may come from halfway")
+	require.Equal(t, TurnedAway, Answered(504, true))
+	require.Equal(t, Status500, Answered(500, true))
+	_, known := Outcome(JobState("500"))
+	require.False(t, known, "a call-back cannot say what only an answer can")
+}
+
+func TestLoadReports(t *testing.T) {
+	for _, c := range []struct {
+		in   string
+		want balance.Report
+	}{
+		{"", balance.Report{}},
+		{"inflight=7,queue=2,util=0.61", balance.Report{Present: true, InFlight: 7, Waiting: 2, Free: -1}},
+		{"active=3, waiting=0, x0=1.5, x1=2", balance.Report{Present: true, InFlight: 3, Waiting: 0, Free: 1.5}},
+		{"inflight=-4,queue=NaN,x0=1e300,junk", balance.Report{Present: true, InFlight: 0, Waiting: -1, Free: -1}},
+	} {
+		got := ParseLoad(c.in)
+		if c.in == "" {
+			require.False(t, got.Present)
+			continue
+		}
+		require.Equal(t, c.want, got, c.in)
+	}
+}
+
+// shortConn takes only so many bytes.
+type shortConn struct {
+	net.Conn
+	left int
+}
+
+func (c *shortConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (c *shortConn) Write(b []byte) (int, error) {
+	if len(b) <= c.left {
+		c.left -= len(b)
+		return len(b), nil
+	}
+	n := c.left
+	c.left = 0
+	return n, errors.New("broken")
+}
+
+// An attempt whose last byte was not written never ran. One byte more, and it may have.
+func TestSendTellsWhetherTheLastByteWent(t *testing.T) {
+	s := NewStack()
+	body := [][]byte{[]byte("0123456789")}
+	whole := len("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n") + 10
+	for _, big := range []bool{false, true} {
+		b, n := body, whole
+		if big { // head and body go out apart
+			b = [][]byte{make([]byte, buffer.Size), make([]byte, 10)}
+			n = len("POST / HTTP/1.1\r\nContent-Length: 8202\r\n\r\n") + buffer.Size + 10
+		}
+		for short := range 3 {
+			buf := s.Buffers.Get()
+			missing, err := s.Wrap(&shortConn{left: n - short}).Send(Start(buf, "POST / HTTP/1.1"), b, time.Time{})
+			require.Equal(t, short > 0, err != nil)
+			require.Equal(t, short > 0, missing > 0, "big %v, short by %d", big, short)
+		}
+	}
+}
+
+func TestBodiesAreBounded(t *testing.T) {
+	p := buffer.NewPool()
+	b, err := p.Read(strings.NewReader(strings.Repeat("x", buffer.MaxBody)))
+	require.NoError(t, err)
+	require.Equal(t, buffer.MaxBody, b.Len())
+	b.Release()
+	_, err = p.Read(strings.NewReader(strings.Repeat("x", buffer.MaxBody+1)))
+	require.ErrorIs(t, err, buffer.ErrTooLarge)
+}
--- /dev/null
+++ b/internal/net/target/target_test.go
@@ -0,0 +1,179 @@
+package target
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"reachcart/balance"
+	"reachcart/internal/clock"
+	"reachcart/internal/core"
+	"reachcart/internal/net/httpio"
+)
+
+// sink keeps what the transport tells.
+type sink struct {
+	ended  chan core.Outcome
+	probed chan core.ProbeResult
+}
+
+func (s sink) Ended(o core.Outcome)          { s.ended <- o }
+func (s sink) ProbeEnded(r core.ProbeResult) { s.probed <- r }
+
+type bench struct {
+	*Transport
+	t     *testing.T
+	clock *clock.Manual
+	sink  sink
+	ln    net.Listener
+}
+
+func newBench(t *testing.T) *bench {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	b := &bench{t: t, clock: clock.NewManual(1e6), ln: ln, sink: sink{make(chan core.Outcome, 9), make(chan core.ProbeResult, 9)}}
+	b.Transport = New(Config{Clock: b.clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Stack: httpio.NewStack(), Sink: b.sink,
+		Sockets: httpio.NewBudget(2), DialFor: 5000, IdleFor: 30000, Host: "x"})
+	b.list(balance.Ready)
+	return b
+}
+
+func (b *bench) list(s balance.State) {
+	b.Listed(core.Group{Scope: balance.Changes, Targets: []core.Target{{Member: balance.Member{ID: "t", State: s}, Address: b.ln.Addr().String()}}})
+}
+
+func (b *bench) start(n int) core.Attempt {
+	a := core.Attempt{Ref: core.Ref{Flow: 1, N: n}, ID: "id", Target: "t", Job: core.Job{Method: "POST", Path: "/c"}, Deadline: 1e6 + 1000}
+	b.Start(a)
+	return a
+}
+
+// serve accepts a connection, or goes on with c, and reads one request.
+func (b *bench) serve(c net.Conn) (net.Conn, *http.Request) {
+	if c == nil {
+		var err error
+		c, err = b.ln.Accept()
+		require.NoError(b.t, err)
+	}
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	require.NoError(b.t, err)
+	return c, req
+}
+
+func (b *bench) accept202(c net.Conn) {
+	_, err := io.WriteString(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(b.t, err)
+	b.idle(1)
+}
+
+func (b *bench) idle(n int) {
+	tg, _ := b.target("t")
+	require.Eventually(b.t, func() bool {
+		tg.pool.mu.Lock()
+		defer tg.pool.mu.Unlock()
+		return len(tg.pool.idle) == n
+	}, 10*time.Second, time.Millisecond)
+}
+
+// A connection that the target has closed while it stood idle must not carry a request: it
+// would end as a reset, and a purchase could not leave its pod any more.
+func TestConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
+	b := newBench(t)
+	b.start(0)
+	c, _ := b.serve(nil)
+	b.accept202(c)
+	c.Close()
+	tg, _ := b.target("t")
+	require.Eventually(t, func() bool { return !stands(tg.pool.idle[0].conn) }, 10*time.Second, time.Millisecond)
+	b.start(1)
+	c, _ = b.serve(nil)
+	b.accept202(c)
+	require.EqualValues(t, 2, b.Counts.Dialled.Load())
+	require.Empty(t, b.sink.ended)
+}
+
+// A connection near the target's idle limit is not used, as the closing could cross.
+func TestOldConnectionsAreRetired(t *testing.T) {
+	b := newBench(t)
+	b.start(0)
+	c, _ := b.serve(nil)
+	b.accept202(c)
+	b.clock.Advance(14_000)
+	b.start(1)
+	_, _ = b.serve(c)
+	b.accept202(c)
+	require.EqualValues(t, 1, b.Counts.Reused.Load())
+	b.clock.Advance(15_000)
+	b.start(2)
+	c, _ = b.serve(nil)
+	b.accept202(c)
+	require.EqualValues(t, 1, b.Counts.Retired.Load())
+}
+
+// An attempt given up before its 202 ends as given up, and is not told as a reset besides:
+// two resets eject a worker.
+func TestGivenUpBeforeThe202(t *testing.T) {
+	b := newBench(t)
+	a := b.start(0)
+	c, _ := b.serve(nil)
+	b.Cancel(a)
+	_, err := c.Read(make([]byte, 1))
+	require.Error(t, err, "closed: that gives the attempt up")
+	for len(b.sink.ended) == 0 {
+		b.clock.Advance(settle)
+		time.Sleep(time.Millisecond)
+	}
+	require.Equal(t, balance.Cancelled, (<-b.sink.ended).Result)
+	require.Eventually(t, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.running) == 0
+	}, 10*time.Second, time.Millisecond)
+	require.Empty(t, b.sink.ended)
+}
+
+// A drain that is told between the decision and the first byte holds, too.
+func TestNothingGoesToATargetThatDrains(t *testing.T) {
+	b := newBench(t)
+	b.list(balance.Draining)
+	b.start(0)
+	require.Equal(t, balance.NeverSent, (<-b.sink.ended).Result)
+}
+
+func TestNoSocketIsNoFaultOfTheTarget(t *testing.T) {
+	b := newBench(t)
+	require.True(t, b.Sockets.TryTake() && b.Sockets.TryTake())
+	b.start(0)
+	require.Equal(t, balance.NeverSent, (<-b.sink.ended).Result)
+}
+
+func TestOutcomesOfBrokenConnections(t *testing.T) {
+	b := newBench(t)
+	b.start(0)
+	c, _ := b.serve(nil)
+	c.Close()
+	require.Equal(t, balance.Reset, (<-b.sink.ended).Result)
+	b.ln.Close()
+	b.start(1)
+	require.Equal(t, balance.NoConnection, (<-b.sink.ended).Result)
+	b.Probe("t")
+	require.Equal(t, balance.NoConnection, (<-b.sink.probed).Result)
+}
+
+func TestProbeBringsTheLoad(t *testing.T) {
+	b := newBench(t)
+	b.Probe("t")
+	c, req := b.serve(nil)
+	require.Equal(t, "/metrics/load", req.URL.Path)
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 35\r\n\r\n{\"inflight\":2,\"queue\":1,\"x0\":3}    ")
+	require.NoError(t, err)
+	r := <-b.sink.probed
+	require.Equal(t, balance.Report{Present: true, InFlight: 2, Waiting: 1, Free: 3}, r.Report)
+}
