--- a/balance/api.go
+++ b/balance/api.go
@@ -208,6 +208,7 @@
 	Slots    float64
 	Repeat   bool
 	First    bool // surely no later try, whatever its budget
+	Priority int  // held requests of a higher one go first; 0 is the usual
 	List     ListScope
 	Members  []Member
 	Timer    uint64
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -73,6 +73,7 @@
 	attempts                 []attempt
 	outs                     int // attempts out
 	held, done               bool
+	priority                 int
 	line                     *line         // of its key, if that asks for order
 	doubt                    time.Duration // until then an ended attempt may still run
 }
@@ -291,7 +292,7 @@
 		return
 	}
 	r := &request{id: ev.Request, class: c, slots: max(ev.Slots, 1), hint: ev.Hint.Seconds(),
-		home: b.newHome(), arrived: now}
+		home: b.newHome(), arrived: now, priority: ev.Priority}
 	if b.s.Prices.Fetch > 0 && ev.Key != "" {
 		r.key = hash(ev.Key)
 	}
@@ -486,13 +487,15 @@
 	return c.Scope == ScopeAll || w.Zone == ran.to.Zone && (c.Scope == ScopeZone || w.Cell == ran.to.Cell)
 }
 
-// place sends what is held and has room, the most worth for the work first.
+// place sends what is held and has room: by priority, then the most worth for the work first.
 func (b *Balancer) place(now time.Duration) {
 	for _, r := range b.held {
 		r.value = b.value(now, r)
 		b.top = max(b.top*0.999, r.value)
 	}
-	slices.SortStableFunc(b.held, func(x, y *request) int { return cmp.Compare(y.value, x.value) })
+	slices.SortStableFunc(b.held, func(x, y *request) int {
+		return cmp.Or(cmp.Compare(y.priority, x.priority), cmp.Compare(y.value, x.value))
+	})
 	kept, misses := b.held[:0], 0
 	for _, r := range b.held {
 		if misses < 4 && b.mayGo(now, r) {
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -29,5 +29,5 @@
 	c.timers.add(timer{at: f.deadline + clock.Millis(c.cfg.Settings.AnswerSlack)/2, what: flowTimer, id: f.number})
 	c.step(balance.Event{Kind: balance.Arrived, Request: f.number, Class: f.Class, Key: f.Subject,
 		Budget: clock.Duration(f.deadline - c.clock.Now()), Hint: clock.Duration(f.Hint), Slots: f.Slots, Repeat: f.Repeat,
-		First: f.First})
+		First: f.First, Priority: f.Job.Priority})
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -34,7 +34,7 @@
 	Body         *buffer.Body // may be nil
 	Function     string       // the one that a target must have, or empty: any of the class
 	Unique       string       // by which the client knows a repeat, or empty
-	Priority     int          // among jobs put before the same target: higher goes first
+	Priority     int          // higher goes first; 0 is the usual
 }
 
 // Listener is the client's side of a flow. Both calls come from the core's goroutine
--- a/internal/gearman/packet.go
+++ b/internal/gearman/packet.go
@@ -16,6 +16,9 @@
 //   - A class with keys takes its key from the unique, so there a unique must be given.
 //   - A refusal is WORK_EXCEPTION (to those who asked for exceptions) or else WORK_WARNING
 //     with the words "refused; retry-after=SECONDS", and then WORK_FAIL, the final packet.
+//   - CAN_DO_TIMEOUT is CAN_DO: deadlines run from the operator's file, per function.
+//   - Jobs of a higher priority go first among those that wait; none pushes another out.
+//   - A second connection with a worker's name takes its place: the first one is dead.
 //   - The protocol cannot take a job back from a worker. Giving up an attempt that was
 //     handed over means that nothing the worker still says of it is heard.
 package gearman
