Tell a Gearman peer of a truncated packet and of an endless text line, too

A packet that stops halfway for 10 s closed the connection without a word, and the ERROR for one that ended early carried the reader's own words. The codes are errors of one kind now, and only their own text goes out.

--- a/cmd/cottonwell/exchange_test.go
+++ b/cmd/cottonwell/exchange_test.go
@@ -121,7 +121,7 @@
 
 // play plays a script. Each line is NAME VERB TEXT:
 //
-//	connect, accept, close, eof       for a connection; 'connect gearman' for the second front
+//	connect, accept, close, end, reset, eof   for a connection; 'connect gearman' for the second front
 //	> TEXT, < TEXT                    a line is sent, or expected
 //	>. TEXT, <. TEXT                  the same without the line's end
 //	>p TYPE TEXT, <p TYPE TEXT        a Gearman packet; >. also takes \x00 and the like
@@ -174,6 +174,8 @@
 			require.NoError(t, p.lns[name].Close())
 		case "close":
 			require.NoError(t, c.Close())
+		case "end": // of what it writes; it goes on reading
+			require.NoError(t, c.(*net.TCPConn).CloseWrite())
 		case "reset":
 			require.NoError(t, c.(*net.TCPConn).SetLinger(0))
 			require.NoError(t, c.Close())
--- a/internal/gearman/packet.go
+++ b/internal/gearman/packet.go
@@ -29,6 +29,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"reachcart/internal/buffer"
 )
@@ -82,14 +83,19 @@
 )
 
 // What is wrong with a packet; the first word of each is the code of the ERROR packet.
-var (
-	errMagic     = errors.New("bad_magic not a request packet")
-	errSize      = errors.New("too_large packet is longer than 64 KiB")
-	errTruncated = errors.New("truncated packet ends early")
-	errArguments = errors.New("bad_arguments wrong number of arguments")
-	errUnknown   = errors.New("unknown_command not a packet that this server takes")
+const (
+	errMagic     = protocolError("bad_magic not a request packet")
+	errSize      = protocolError("too_large packet is longer than 64 KiB")
+	errTruncated = protocolError("truncated packet ends early")
+	errArguments = protocolError("bad_arguments wrong number of arguments")
+	errUnknown   = protocolError("unknown_command not a packet that this server takes")
 )
 
+// protocolError is what the other side did wrong: a code and its explanation.
+type protocolError string
+
+func (e protocolError) Error() string { return string(e) }
+
 // arguments is how many NUL-separated parts a request has; the last takes what is left.
 func arguments(t Type) (int, bool) {
 	switch t {
@@ -151,7 +157,7 @@
 }
 
 func early(err error) error {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, os.ErrDeadlineExceeded) {
 		return fmt.Errorf("%w: %w", errTruncated, err)
 	}
 	return err
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -171,8 +171,10 @@
 	stop := make(chan struct{})
 	go s.write(c, stop)
 	err := s.read(ctx, c)
-	if code, text, ok := strings.Cut(errText(err), " "); ok && isProtocol(err) {
-		s.log.Warn("bad packet", "peer", nc.RemoteAddr(), "cause", code)
+	var fault protocolError
+	if errors.As(err, &fault) {
+		code, text, _ := strings.Cut(string(fault), " ")
+		s.log.Warn("bad packet", "peer", nc.RemoteAddr(), "cause", err)
 		c.send(outgoing{data: Response(Error, code, text), last: true})
 		<-c.gone
 		httpio.CloseGently(nc, s.clock.Deadline(lingerFor))
@@ -195,24 +197,6 @@
 	s.closing = true
 }
 
-func errText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-func isProtocol(err error) bool {
-	var p protocolError
-	return errors.As(err, &p) || errors.Is(err, errMagic) || errors.Is(err, errSize) || errors.Is(err, errTruncated) ||
-		errors.Is(err, errArguments) || errors.Is(err, errUnknown)
-}
-
-// protocolError is what a well-formed packet may not say: a code and its explanation.
-type protocolError string
-
-func (e protocolError) Error() string { return string(e) }
-
 // write writes the outbox until stop, a last packet, or a failure.
 func (s *Server) write(c *conn, stop <-chan struct{}) {
 	defer close(c.gone)
@@ -255,6 +239,9 @@
 		}
 		if first[0] != 0 { // the binary protocol begins with NUL, text does not
 			line, err := br.ReadSlice('\n')
+			if errors.Is(err, bufio.ErrBufferFull) {
+				return protocolError("too_large line has no end")
+			}
 			if err != nil {
 				return err
 			}
