--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"reachcart/balance"
+	"cottonwell/balance"
 )
 
 // Two workers, one job: it is sent, and its answer ends it.
--- a/cmd/cottonwell/exchange_test.go
+++ b/cmd/cottonwell/exchange_test.go
@@ -17,9 +17,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"reachcart/internal/clock"
-	"reachcart/internal/config"
-	"reachcart/internal/gearman"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/config"
+	"cottonwell/internal/gearman"
 )
 
 // wait is how long a test waits for what will come; it decides nothing unless something is broken.
--- a/cmd/cottonwell/main.go
+++ b/cmd/cottonwell/main.go
@@ -14,7 +14,7 @@
 
 	"github.com/spf13/pflag"
 
-	"reachcart/internal/config"
+	"cottonwell/internal/config"
 )
 
 const usage = `cottonwell, a job scheduler
--- a/cmd/cottonwell/reload.go
+++ b/cmd/cottonwell/reload.go
@@ -5,8 +5,8 @@
 	"log/slog"
 	"os"
 
-	"reachcart/internal/config"
-	"reachcart/internal/net/discovery"
+	"cottonwell/internal/config"
+	"cottonwell/internal/net/discovery"
 )
 
 // reload takes up a configuration that was replaced under the running program. Its
--- a/cmd/cottonwell/rules_test.go
+++ b/cmd/cottonwell/rules_test.go
@@ -18,9 +18,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"reachcart/internal/clock"
-	"reachcart/internal/config"
-	"reachcart/internal/gearman"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/config"
+	"cottonwell/internal/gearman"
 )
 
 // rules checks what must hold of every request, whichever front it came by and whichever
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -10,17 +10,17 @@
 	"runtime/debug"
 	"sync"
 
-	"reachcart/balance"
-	"reachcart/internal/clock"
-	"reachcart/internal/config"
-	"reachcart/internal/core"
-	"reachcart/internal/gearman"
-	"reachcart/internal/invariant"
-	"reachcart/internal/net/discovery"
-	"reachcart/internal/net/httpio"
-	"reachcart/internal/net/listener"
-	"reachcart/internal/net/peers"
-	"reachcart/internal/net/target"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/config"
+	"cottonwell/internal/core"
+	"cottonwell/internal/gearman"
+	"cottonwell/internal/invariant"
+	"cottonwell/internal/net/discovery"
+	"cottonwell/internal/net/httpio"
+	"cottonwell/internal/net/listener"
+	"cottonwell/internal/net/peers"
+	"cottonwell/internal/net/target"
 )
 
 const (
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"reachcart/balance"
-	"reachcart/internal/wire"
+	"cottonwell/balance"
+	"cottonwell/internal/wire"
 )
 
 func main() {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"reachcart/internal/wire"
+	"cottonwell/internal/wire"
 )
 
 const spawn = " rng-seed=9 classes.count=1 classes.0.name=a classes.0.semantics=safe classes.0.aim-us=100000 " +
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,9 +13,9 @@
 	"strconv"
 	"strings"
 
-	"reachcart/balance"
-	"reachcart/internal/net/discovery"
-	"reachcart/internal/wire"
+	"cottonwell/balance"
+	"cottonwell/internal/net/discovery"
+	"cottonwell/internal/wire"
 )
 
 // Config is the platform's configuration.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"reachcart/balance"
+	"cottonwell/balance"
 )
 
 func load(t *testing.T) *Config {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -8,9 +8,9 @@
 
 	"github.com/BurntSushi/toml"
 
-	"reachcart/balance"
-	"reachcart/internal/clock"
-	"reachcart/internal/gearman"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/gearman"
 )
 
 // Operator is the operator's file.
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -1,8 +1,8 @@
 package core
 
 import (
-	"reachcart/balance"
-	"reachcart/internal/clock"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
 )
 
 // admit lets a flow in to the module, or gives it a fixed response. What is refused
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -6,7 +6,7 @@
 	"maps"
 	"strings"
 
-	"reachcart/balance"
+	"cottonwell/balance"
 )
 
 // Books are a core's counts since its start.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"log/slog"
 
-	"reachcart/balance"
-	"reachcart/internal/clock"
-	"reachcart/internal/invariant"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/invariant"
 )
 
 // Config is what a core is made from.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"reachcart/balance"
-	"reachcart/internal/buffer"
-	"reachcart/internal/clock"
-	"reachcart/internal/invariant"
+	"cottonwell/balance"
+	"cottonwell/internal/buffer"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/invariant"
 )
 
 // bench is a core on a clock set by hand, with a transport that only writes down what it
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -1,8 +1,8 @@
 package core
 
 import (
-	"reachcart/balance"
-	"reachcart/internal/clock"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
 )
 
 // Ended tells how an attempt ended. Only the first word about an attempt counts.
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"reachcart/balance"
-	"reachcart/internal/clock"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
 )
 
 // step puts an event in line for the module.
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -1,8 +1,8 @@
 package core
 
 import (
-	"reachcart/balance"
-	"reachcart/internal/clock"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
 )
 
 // send starts an attempt. The rules that hold whatever the module decides are kept
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -1,6 +1,6 @@
 package core
 
-import "reachcart/balance"
+import "cottonwell/balance"
 
 // flow is a request from its taking in until nothing of it is left.
 type flow struct {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -7,8 +7,8 @@
 package core
 
 import (
-	"reachcart/balance"
-	"reachcart/internal/buffer"
+	"cottonwell/balance"
+	"cottonwell/internal/buffer"
 )
 
 // Request is what a front takes in from a client.
--- a/internal/gearman/clients.go
+++ b/internal/gearman/clients.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strconv"
 
-	"reachcart/internal/core"
+	"cottonwell/internal/core"
 )
 
 // job is a flow that came from Gearman clients. It is the flow's listener.
--- a/internal/gearman/packet.go
+++ b/internal/gearman/packet.go
@@ -31,7 +31,7 @@
 	"io"
 	"os"
 
-	"reachcart/internal/buffer"
+	"cottonwell/internal/buffer"
 )
 
 // Type is a packet's type, by the published numbers.
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -10,10 +10,10 @@
 	"strings"
 	"sync"
 
-	"reachcart/internal/buffer"
-	"reachcart/internal/clock"
-	"reachcart/internal/core"
-	"reachcart/internal/net/httpio"
+	"cottonwell/internal/buffer"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/core"
+	"cottonwell/internal/net/httpio"
 )
 
 // Function says what jobs of a Gearman function are to the scheduler.
--- a/internal/gearman/workers.go
+++ b/internal/gearman/workers.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"strings"
 
-	"reachcart/balance"
-	"reachcart/internal/core"
-	"reachcart/internal/net/httpio"
+	"cottonwell/balance"
+	"cottonwell/internal/core"
+	"cottonwell/internal/net/httpio"
 )
 
 // worker is a connected worker: a target.
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -13,10 +13,10 @@
 	"strconv"
 	"sync"
 
-	"reachcart/balance"
-	"reachcart/internal/clock"
-	"reachcart/internal/core"
-	"reachcart/internal/net/httpio"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/core"
+	"cottonwell/internal/net/httpio"
 )
 
 const (
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"reachcart/balance"
-	"reachcart/internal/clock"
-	"reachcart/internal/core"
-	"reachcart/internal/net/httpio"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/core"
+	"cottonwell/internal/net/httpio"
 )
 
 // A watch goes on from the last version it has read. After a line that cannot be read, what
--- a/internal/net/discovery/list.go
+++ b/internal/net/discovery/list.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"reachcart/balance"
-	"reachcart/internal/core"
+	"cottonwell/balance"
+	"cottonwell/internal/core"
 )
 
 // List is discovery's list of shop workers, or changes to it.
--- a/internal/net/httpio/head.go
+++ b/internal/net/httpio/head.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strings"
 
-	"reachcart/internal/buffer"
+	"cottonwell/internal/buffer"
 )
 
 // checkHead waits for a whole request head and looks at its bytes as they came, taking
--- a/internal/net/httpio/httpio.go
+++ b/internal/net/httpio/httpio.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"reachcart/internal/buffer"
+	"cottonwell/internal/buffer"
 )
 
 const (
--- a/internal/net/httpio/httpio_test.go
+++ b/internal/net/httpio/httpio_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"reachcart/balance"
-	"reachcart/internal/buffer"
+	"cottonwell/balance"
+	"cottonwell/internal/buffer"
 )
 
 // Which exchanges prove that an attempt never ran decides whether a purchase may leave its
--- a/internal/net/httpio/load.go
+++ b/internal/net/httpio/load.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"reachcart/balance"
+	"cottonwell/balance"
 )
 
 // ParseLoad reads a load report in the form of a header: name=value,name=value. What
--- a/internal/net/httpio/outcomes.go
+++ b/internal/net/httpio/outcomes.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"reachcart/balance"
+	"cottonwell/balance"
 )
 
 // Exchange is what came back, or did not, of an attempt.
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -13,10 +13,10 @@
 	"sync"
 	"sync/atomic"
 
-	"reachcart/internal/buffer"
-	"reachcart/internal/clock"
-	"reachcart/internal/core"
-	"reachcart/internal/net/httpio"
+	"cottonwell/internal/buffer"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/core"
+	"cottonwell/internal/net/httpio"
 )
 
 const (
--- a/internal/net/listener/listener_test.go
+++ b/internal/net/listener/listener_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"reachcart/internal/clock"
-	"reachcart/internal/net/httpio"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/net/httpio"
 )
 
 // late is a clock by which every deadline has passed.
--- a/internal/net/listener/parse.go
+++ b/internal/net/listener/parse.go
@@ -9,10 +9,10 @@
 	"strconv"
 	"strings"
 
-	"reachcart/balance"
-	"reachcart/internal/buffer"
-	"reachcart/internal/core"
-	"reachcart/internal/net/httpio"
+	"cottonwell/balance"
+	"cottonwell/internal/buffer"
+	"cottonwell/internal/core"
+	"cottonwell/internal/net/httpio"
 )
 
 // parseJob reads a job's head. The body is not its concern.
--- a/internal/net/listener/seats.go
+++ b/internal/net/listener/seats.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
-	"reachcart/internal/clock"
-	"reachcart/internal/net/httpio"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/net/httpio"
 )
 
 // standing is what a connection stands for at a moment.
--- a/internal/net/target/pool.go
+++ b/internal/net/target/pool.go
@@ -11,9 +11,9 @@
 	"syscall"
 	"time"
 
-	"reachcart/balance"
-	"reachcart/internal/clock"
-	"reachcart/internal/net/httpio"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/net/httpio"
 )
 
 var (
--- a/internal/net/target/target.go
+++ b/internal/net/target/target.go
@@ -12,11 +12,11 @@
 	"sync"
 	"sync/atomic"
 
-	"reachcart/balance"
-	"reachcart/internal/buffer"
-	"reachcart/internal/clock"
-	"reachcart/internal/core"
-	"reachcart/internal/net/httpio"
+	"cottonwell/balance"
+	"cottonwell/internal/buffer"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/core"
+	"cottonwell/internal/net/httpio"
 )
 
 // Sink is what the transport needs of the core.
--- a/internal/net/target/target_test.go
+++ b/internal/net/target/target_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"reachcart/balance"
-	"reachcart/internal/clock"
-	"reachcart/internal/core"
-	"reachcart/internal/net/httpio"
+	"cottonwell/balance"
+	"cottonwell/internal/clock"
+	"cottonwell/internal/core"
+	"cottonwell/internal/net/httpio"
 )
 
 // sink keeps what the transport tells.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"reachcart/balance"
+	"cottonwell/balance"
 )
 
 // pairs holds the settings of a start message and keeps the first error.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"reachcart/balance"
+	"cottonwell/balance"
 )
 
 // Kind tells what a line, or a group of lines, of a batch says.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"reachcart/balance"
+	"cottonwell/balance"
 )
 
 func readAll(text string) ([]Item, error) {
