--- a/balance/api.go
+++ b/balance/api.go
@@ -136,7 +136,8 @@
 	Listed                     // the worker list: Scope, Members
 	Probed                     // the answer to a probe: Worker, Result, Elapsed, Report
 	TimerDue                   // a timer came due: Timer
-	PeerSpoke                  // a message of another dispatcher: Who, Raw
+	PeerSpoke                  // what another dispatcher has out: Who, Loads
+	Kept                       // room is held or let go at a worker: Worker, Request, Keep
 )
 
 // Result says how an attempt or a probe ended.
@@ -188,6 +189,15 @@
 type Report struct {
 	Present                 bool
 	InFlight, Waiting, Free float64
+	Memory                  float64 // free memory, in units of one slot's usual share; 0 where none is reported
+}
+
+// Keep is room that is held at a worker for one request, and what may go there beside it.
+type Keep struct {
+	Request uint64                   // for whom; 0: for another dispatcher's
+	Spare   float64                  // a job of so many slots takes nothing of it
+	Most    float64                  // one of so many ends in time, if it is sent
+	Last    map[string]time.Duration // by class, until then
 }
 
 // Event is one thing that happened. Which fields count depends on Kind.
@@ -213,8 +223,12 @@
 	List     ListScope
 	Members  []Member
 	Timer    uint64
-	Who      int    // number of the dispatcher that speaks
-	Raw      string // what it says, any bytes
+	Who      int                // number of the dispatcher that speaks
+	Raw      string             // what it says, any bytes: for those who host the module
+	Loads    map[string]float64 // what that means: slots out, by worker
+	Keep     *Keep              // nil: let go
+	Tenant   string
+	Memory   float64 // units of memory that it needs, 0 when unknown
 }
 
 // ActionKind tells actions apart.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -44,9 +44,6 @@
 	coldSafety  = 0.4 // share used, in each turn, of what a cold worker may be sent
 	tickTimer   = uint64(1) << 60
 	askTimer    = tickTimer + 1
-	tellTimer   = tickTimer + 2
-	tellEvery   = 40 * time.Millisecond // they tell one another what they have out,
-	toldFor     = 10 * tellEvery        // and some of it may be lost
 )
 
 // lags are the ages that a report may have when it arrives.
@@ -88,6 +85,7 @@
 	held, done               bool
 	priority                 int
 	line                     *line         // of its key, if that asks for order
+	kept                     *worker       // where room is held for it, or was
 	doubt                    time.Duration // until then an ended attempt may still run
 }
 
@@ -125,6 +123,7 @@
 	tokens                   float64         // seconds of work that may be sent in the turn while cold
 	offset                   uint32          // hash of the id; the count of turns begins there
 	tells                    map[int]float64 // the latter by dispatcher
+	keep                     *Keep           // room held there, if any
 }
 
 // Balancer decides for one dispatcher.
@@ -150,9 +149,7 @@
 	misfit                       [len(lags)]float64       // of reports with own work so long ago
 	startDelay                   map[string]time.Duration // of a prompt start in each zone
 	gap                          float64                  // seconds between requests, usually
-	cameAt, probeTakes, saidAt   time.Duration            // the last; the quickest; the last word
-	toldAt                       []time.Duration          // when each other dispatcher last spoke
-	said                         string                   // the last message
+	cameAt, probeTakes           time.Duration            // the last; the quickest
 	acts                         []Action
 	cand                         []*worker
 }
@@ -165,8 +162,7 @@
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), classes: map[string]*class{},
 		workers: map[string]*worker{}, reqs: map[uint64]*request{},
 		retries: retryBurst, slotMean: 1, slotsMean: 2, runMean: 2 * s.Classes[0].Aim.Seconds(),
-		startDelay: map[string]time.Duration{}, lines: map[string]*line{}, blind: blindShare, gap: 0.1,
-		toldAt: make([]time.Duration, s.Fleet)}
+		startDelay: map[string]time.Duration{}, lines: map[string]*line{}, blind: blindShare, gap: 0.1}
 	for _, c := range s.Classes {
 		b.classes[c.Name] = &class{Class: c, met: 1, runs: 0.1, work: 0.2 * c.Aim.Seconds(), // a first guess
 			shut: map[string]rest{}}
@@ -205,7 +201,11 @@
 			}
 		}
 	case PeerSpoke:
-		b.hear(now, ev.Who, ev.Raw)
+		b.note(now, ev.Who, ev.Loads)
+		b.place(now)
+	case Kept:
+		b.keep(ev)
+		b.place(now)
 	case TimerDue:
 		b.timer(now, ev.Timer)
 	}
@@ -222,8 +222,6 @@
 		b.place(now)
 	case askTimer:
 		b.ask()
-	case tellTimer:
-		b.tell(now)
 	default:
 		if r := b.reqs[t]; r != nil && !r.done {
 			r.wakeAt = 0
@@ -260,7 +258,6 @@
 	}
 	if ev.List == FromDisk {
 		b.ask()
-		b.tell(now)
 	} else {
 		b.askFails = 0
 	}
@@ -295,7 +292,7 @@
 }
 
 func (b *Balancer) unlist(w *worker) {
-	w.listed = false
+	w.listed, w.keep = false, nil
 	b.ring = slices.DeleteFunc(b.ring, func(x *worker) bool { return x == w })
 	b.drop(w)
 }
@@ -521,7 +518,7 @@
 	})
 	kept, misses := b.held[:0], 0
 	for _, r := range b.held {
-		if misses < 4 && b.mayGo(now, r) {
+		if (misses < 4 || r.kept != nil) && b.mayGo(now, r) {
 			if w := b.draw(now, r); w != nil {
 				r.held = false
 				b.send(now, r, w)
@@ -581,6 +578,9 @@
 		b.gather(now, r, pass)
 	}
 	b.addCold(now, r)
+	if w := r.kept; w != nil && w.listed && w.owns(r) && b.fits(now, r, w, 0) && !slices.Contains(b.cand, w) {
+		b.cand = append(b.cand, w)
+	}
 	best, top := (*worker)(nil), math.Inf(-1)
 	for i, w := range b.cand {
 		if !b.room(now, r, w) {
@@ -638,55 +638,34 @@
 	return b.s.ColdFrom + (1-b.s.ColdFrom)*max(0, age.Seconds())/b.s.ColdFor.Seconds()
 }
 
-// tell says to the other dispatchers what this one has out: for each worker two bytes of its id's hash, and
-// its slots; if nothing changed, each third time. A message is whole by itself, so that none has to arrive.
-func (b *Balancer) tell(now time.Duration) {
-	if !b.s.Peers || b.s.Fleet < 2 {
-		return
-	}
-	for who, at := range b.toldAt {
-		if now-at > toldFor { // it is silent, and only reports tell of its work
-			b.note(now, who, "")
-		}
-	}
-	raw := []byte{1}
+// note keeps what a dispatcher has out at each worker by its word: nothing, where it names none.
+func (b *Balancer) note(now time.Duration, who int, loads map[string]float64) {
 	for _, w := range b.ring {
-		if w.own > 0 && len(raw) <= 253 {
-			raw = append(raw, byte(w.offset>>8), byte(w.offset>>16), byte(min(255, math.Ceil(w.own))))
+		if slots := loads[w.ID]; w.tells[who] != slots {
+			w.told += slots - w.tells[who]
+			w.tells[who] = slots
+			w.mark(now)
 		}
 	}
-	if x := string(raw); x != b.said || now-b.saidAt >= 3*tellEvery {
-		b.said, b.saidAt = x, now
-		b.do(Action{Kind: Tell, Raw: x})
-	}
-	b.do(Action{Kind: Wake, Timer: tellTimer, After: tellEvery})
 }
 
-// hear takes in such a message.
-func (b *Balancer) hear(now time.Duration, who int, raw string) {
-	if who < 0 || who >= b.s.Fleet || who == b.s.Self || len(raw)%3 != 1 || raw[0] != 1 {
-		return
+// keep notes that room is held at a worker, for whom and what may go there; or that it is let go.
+func (b *Balancer) keep(ev *Event) {
+	if w := b.workers[ev.Worker]; w != nil {
+		w.keep = ev.Keep
+		if r := b.reqs[ev.Request]; r != nil {
+			r.kept = w
+		}
 	}
-	b.toldAt[who] = now
-	b.note(now, who, raw[1:])
-	b.place(now)
 }
 
-// note keeps what a dispatcher says of each worker: nothing, where the worker is not named.
-func (b *Balancer) note(now time.Duration, who int, raw string) {
-	for _, w := range b.ring {
-		slots := 0.0
-		for m := raw; len(m) > 0; m = m[3:] {
-			if m[0] == byte(w.offset>>8) && m[1] == byte(w.offset>>16) {
-				slots = float64(m[2])
-			}
-		}
-		if w.tells[who] != slots {
-			w.told += slots - w.tells[who]
-			w.tells[who] = slots
-			w.mark(now)
-		}
-	}
+// owns says whether room is held at w for r.
+func (w *worker) owns(r *request) bool { return w.keep != nil && w.keep.Request == r.id }
+
+// leaves says whether r at w leaves alone what is held there for another.
+func (w *worker) leaves(now time.Duration, r *request) bool {
+	k := w.keep
+	return k == nil || w.owns(r) || r.slots <= k.Spare || r.slots <= k.Most && now <= k.Last[r.class.Name]
 }
 
 // load is how many slots of w are taken or waited for: own work, and others' as last reported. Old reports
@@ -719,7 +698,7 @@
 }
 
 func (b *Balancer) room(now time.Duration, r *request, w *worker) bool {
-	if now < w.fullTo || w.trial && w.outs > 0 || !b.coldRoom(now, r, w) {
+	if now < w.fullTo || w.trial && w.outs > 0 || !b.coldRoom(now, r, w) || !w.leaves(now, r) {
 		return false
 	}
 	// While requests are refused, cheap jobs leave some slots to dear ones, or these would come too late.
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,6 +9,7 @@
 	"os"
 
 	"cottonwell/balance"
+	"cottonwell/internal/decide"
 	"cottonwell/internal/wire"
 )
 
@@ -21,7 +22,7 @@
 
 // instance is one dispatcher; failed is set once its decisions have panicked.
 type instance struct {
-	b      *balance.Balancer
+	b      *decide.Decider
 	failed bool
 }
 
@@ -76,7 +77,7 @@
 		delete(h.instances, it.Instance)
 		return nil
 	case wire.Start:
-		b, err := balance.New(it.Settings, it.Seed)
+		b, err := decide.New(it.Settings, it.Seed, nil)
 		if err != nil {
 			return fmt.Errorf("dispatcher %d: %w", it.Instance, err)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,7 +7,9 @@
 
 	"cottonwell/balance"
 	"cottonwell/internal/clock"
+	"cottonwell/internal/decide"
 	"cottonwell/internal/invariant"
+	"cottonwell/internal/room"
 )
 
 // Config is what a core is made from.
@@ -23,6 +25,8 @@
 	MaxOpen int
 	// Tell sends a message to the other schedulers; nil where there is no way to them.
 	Tell func(raw string)
+	// Room sets the planner of held room up; nil while that is off.
+	Room *room.Config
 	// Known is the list as it was held last, by source; the module learns it first.
 	Known map[string]Group
 }
@@ -33,7 +37,7 @@
 	log     *slog.Logger
 	clock   clock.Clock
 	inv     *invariant.Set
-	module  *balance.Balancer
+	module  *decide.Decider
 	sources map[string]*source
 	events  chan event
 	done    chan struct{} // closed when Run returns
@@ -60,7 +64,7 @@
 
 // New returns a core that has not begun, or says what is wrong with its settings.
 func New(cfg Config, sources ...Source) (*Core, error) {
-	module, err := balance.New(cfg.Settings, cfg.Seed)
+	module, err := decide.New(cfg.Settings, cfg.Seed, cfg.Room)
 	if err != nil {
 		return nil, fmt.Errorf("decision module: %w", err)
 	}
--- /dev/null
+++ b/internal/room/room.go
@@ -0,0 +1,4 @@
+package room
+
+type Config struct{}
+type Planner struct{}
