--- a/balance/balance.go
+++ b/balance/balance.go
@@ -767,6 +767,9 @@
 	wait := b.wait(now, w, r.slots)
 	b.own(now, w, r, 1)
 	w.tokens -= r.work * r.slots
+	if w.keep != nil && !w.owns(r) {
+		w.keep.Spare -= r.slots // until it is told anew
+	}
 	// It may have to connect first. Notes that come at once tell of no slot sooner than a tick's would.
 	prompt := max(cmp.Or(b.startDelay[w.Zone], b.s.DialTimeout/4), b.s.Tick)
 	a := attempt{to: w, sentAt: now, wait: wait, out: true, lookAt: now + wait + 4*prompt + 2*b.s.Tick}
--- a/cmd/cottonwell/main.go
+++ b/cmd/cottonwell/main.go
@@ -105,7 +105,11 @@
 		}
 		fmt.Fprintf(stdout, "configuration of %s is good: %d classes, %d targets known\n",
 			cfg.Name, len(cfg.Settings.Classes), len(cfg.Known.Endpoints))
-		if op != nil {
+		if op != nil && op.Room != nil {
+			p := op.Plan()
+			fmt.Fprintf(stdout, "operator's file is good: room is held for jobs of %g slots, %g%% of the slots at most\n", p.Large, 100*p.Share)
+		}
+		if op != nil && op.Gearman != nil {
 			fmt.Fprintf(stdout, "operator's file is good: Gearman at %s, %d functions, %d workers\n",
 				op.Gearman.Listen, len(op.Gearman.Functions), len(op.Gearman.Workers))
 		}
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -58,7 +58,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	var gln net.Listener
-	if op != nil {
+	if op != nil && op.Gearman != nil {
 		if gln, err = net.Listen("tcp", op.Gearman.Listen); err != nil {
 			ln.Close()
 			return fmt.Errorf("listen for gearman: %w", err)
@@ -93,7 +93,7 @@
 	stack, inv := httpio.NewStack(), invariant.New()
 	s := &scheduler{log: log, clock: clk, inv: inv}
 	places := cfg.Limits.Sockets - reserve
-	if op != nil {
+	if op != nil && op.Gearman != nil {
 		places -= op.Gearman.Connections
 	}
 	if places < 16 {
@@ -113,8 +113,8 @@
 	if cfg.Discovery != "" {
 		sources[0].Watch = s.watch.Watch
 	}
-	if op != nil {
-		s.gearman = gearman.New(op.Gearman, fmt.Sprintf("%s-%x", cfg.Name, uint64(clk.Now())), back, clk, log, stack.Buffers)
+	if op != nil && op.Gearman != nil {
+		s.gearman = gearman.New(*op.Gearman, fmt.Sprintf("%s-%x", cfg.Name, uint64(clk.Now())), back, clk, log, stack.Buffers)
 		sources = append(sources, core.Source{Name: gearman.Source, Transport: s.gearman})
 	}
 	var tell func(string)
@@ -126,7 +126,7 @@
 			tell = s.peers.Tell
 		}
 	}
-	s.core, err = core.New(core.Config{Tell: tell, Settings: cfg.Settings, Seed: cfg.Seed, Clock: clk, Log: log, Invariants: inv,
+	s.core, err = core.New(core.Config{Tell: tell, Room: op.Plan(), Settings: cfg.Settings, Seed: cfg.Seed, Clock: clk, Log: log, Invariants: inv,
 		ComeBack: comeBack, Known: map[string]core.Group{"discovery": known}},
 		sources...)
 	if err != nil {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,13 +8,24 @@
 	"io"
 	"os"
 
+	"github.com/spf13/pflag"
+
 	"cottonwell/balance"
+	"cottonwell/internal/config"
 	"cottonwell/internal/decide"
+	"cottonwell/internal/room"
 	"cottonwell/internal/wire"
 )
 
 func main() {
-	if err := serve(os.Stdin, os.Stdout); err != nil {
+	operator := pflag.StringP("operator", "o", "", "the operator's file, as TOML; of it, only [room] counts here")
+	pflag.Parse()
+	op, err := config.ReadOperator(*operator)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "simhost:", err)
+		os.Exit(2)
+	}
+	if err := serve(os.Stdin, os.Stdout, op.Plan()); err != nil {
 		fmt.Fprintln(os.Stderr, "simhost:", err)
 		os.Exit(1)
 	}
@@ -32,12 +43,13 @@
 	pages     [16][]balance.Member
 	out       *wire.Writer
 	acts      []balance.Action
+	plan      *room.Config // of held room; nil: off
 }
 
 // serve answers every batch read from r on w, until r ends.
-func serve(r io.Reader, w io.Writer) error {
+func serve(r io.Reader, w io.Writer, plan *room.Config) error {
 	in := wire.NewReader(r)
-	h := &host{instances: map[int]*instance{}, out: wire.NewWriter(w)}
+	h := &host{instances: map[int]*instance{}, out: wire.NewWriter(w), plan: plan}
 	var batch wire.Item
 	for {
 		it, err := in.Next()
@@ -77,7 +89,7 @@
 		delete(h.instances, it.Instance)
 		return nil
 	case wire.Start:
-		b, err := decide.New(it.Settings, it.Seed, nil)
+		b, err := decide.New(it.Settings, it.Seed, h.plan)
 		if err != nil {
 			return fmt.Errorf("dispatcher %d: %w", it.Instance, err)
 		}
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -14,7 +14,7 @@
 func run(t *testing.T, text string) (string, error) {
 	t.Helper()
 	var out strings.Builder
-	err := serve(strings.NewReader(text), &out)
+	err := serve(strings.NewReader(text), &out, nil)
 	return out.String(), err
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -58,7 +58,13 @@
 	require.NoError(t, err)
 	require.Nil(t, none)
 	for text, want := range map[string]string{
-		"":                                "gearman.listen",
+		"":                                "sets nothing up",
+		"[gearman]\n":                     "gearman.listen",
+		"[room]\nshare = '25'":            "not a share of 0%",
+		"[room]\nlongest = 100":           ":2: ",
+		"[room]\nconfidence = '30%'":      "room.confidence",
+		"[room]\nmode = 'fill'":           "room.mode",
+		"[room]\nrows = 1":                "unknown key room.rows",
 		"[gearman]\nlisten = ':1'\nx = 1": "unknown key",
 		"[gearman]\nlisten = ':1'":        "none is given",
 		"[gearman]\nlisten = ':1'\n[[gearman.function]]\nname = 'f'\nclass = 'dance'":                                  `no class "dance"`,
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -11,36 +12,71 @@
 	"cottonwell/balance"
 	"cottonwell/internal/clock"
 	"cottonwell/internal/gearman"
+	"cottonwell/internal/room"
 )
 
 // Operator is the operator's file.
 type Operator struct {
-	Gearman gearman.Config `toml:"gearman"`
+	Gearman *gearman.Config `toml:"gearman"` // nil: that front is off
+	Room    *Room           `toml:"room"`    // nil: no room is held
+}
+
+// Plan is the planner's configuration, or nil while it is off.
+func (o *Operator) Plan() *room.Config {
+	if o == nil || o.Room == nil {
+		return nil
+	}
+	return o.Room.Plan()
 }
 
 // LoadOperator reads the operator's file and checks it against the settings. Without a
-// path it returns nil: the Gearman front is off.
+// path it returns nil: the Gearman front is off, and
+// no room is held.
 func LoadOperator(path string, s *balance.Settings) (*Operator, error) {
+	o, err := ReadOperator(path)
+	if o == nil || err != nil {
+		return nil, err
+	}
+	if err := o.check(s); err != nil {
+		return nil, fmt.Errorf("operator's file %s: %w", path, err)
+	}
+	return o, nil
+}
+
+// ReadOperator reads the operator's file without settings to check it against.
+func ReadOperator(path string) (*Operator, error) {
 	if path == "" {
 		return nil, nil
 	}
 	o := &Operator{}
 	meta, err := toml.DecodeFile(path, o)
 	if err != nil {
+		var at toml.ParseError
+		if errors.As(err, &at) {
+			return nil, fmt.Errorf("operator's file %s:%d: %w", path, at.Position.Line, err)
+		}
 		return nil, fmt.Errorf("operator's file %s: %w", path, err)
 	}
 	if odd := meta.Undecoded(); len(odd) > 0 {
 		return nil, fmt.Errorf("operator's file %s: unknown key %s", path, odd[0])
 	}
-	if err := o.check(s); err != nil {
-		return nil, fmt.Errorf("operator's file %s: %w", path, err)
-	}
 	return o, nil
 }
 
 // check says what cannot be, and fills in what may be left out.
 func (o *Operator) check(s *balance.Settings) error {
-	g := &o.Gearman
+	if o.Room != nil {
+		if err := o.Room.check(s); err != nil {
+			return err
+		}
+	}
+	g := o.Gearman
+	if g == nil && o.Room == nil {
+		return fmt.Errorf("it sets nothing up: neither [gearman] nor [room] is there")
+	}
+	if g == nil {
+		return nil
+	}
 	if _, _, err := net.SplitHostPort(g.Listen); err != nil {
 		return fmt.Errorf("gearman.listen: %w", err)
 	}
--- a/internal/room/room.go
+++ /dev/null
@@ -1,4 +0,0 @@
-package room
-
-type Config struct{}
-type Planner struct{}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -404,6 +404,10 @@
 			ev.Hint = f.span()
 		case "slots":
 			ev.Slots = f.float()
+		case "account":
+			ev.Tenant = f.value
+		case "ram-units":
+			ev.Memory = f.float()
 		case "resent":
 			ev.Repeat = f.bool()
 		case "what":
@@ -470,6 +474,8 @@
 			rep.Waiting = max(x, 0)
 		case "x0":
 			rep.Free = max(x, 0)
+		case "x1":
+			rep.Memory = max(x, 0.001) // 0 would say that none is reported
 		}
 	}
 	return rep
