Emulate a shop in virtual time, and let the governor make trials

It showed that the governor blamed held room for what would have gone unserved anyway: it now holds nothing for a part of the time while it doubts.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -148,3 +148,8 @@
 	}
 	return d.told(now, ev.Who, d.in.Holds, acts)
 }
+
+// View is what the module believes of a target.
+func (d *Decider) View(now time.Duration, target string) (balance.View, bool) {
+	return d.module.View(now, target)
+}
--- /dev/null
+++ b/internal/emulator/world_test.go
@@ -0,0 +1,114 @@
+package emulator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cottonwell/internal/room"
+	"cottonwell/internal/units"
+)
+
+// shop is a small one where large jobs have a hard time.
+func shop() *Spec {
+	return &Spec{Schedulers: 2, Level: 0.7, Length: 20_000, Warmup: 3000, NetDelay: 0.5, DatagramDelay: 3, ReportDelay: 60, ReportNoise: 0.08,
+		ListDelay: 300, Leave: 0.03, Retries: 1,
+		Kinds: []KindSpec{{Name: "fast", Count: 6, Slots: 8, Speed: 1.5, Queue: 16, ColdFor: 10_000}, {Name: "slow", Count: 6, Slots: 8, Speed: 0.9, Queue: 16, ColdFor: 10_000}},
+		Classes: []ClassSpec{
+			{Name: "shop-view", Share: 0.7, Runs: 60, Spread: 0.5, Aim: 75, Stretch: 2, Worth: 5},
+			{Name: "purchase", Share: 0.3, Runs: 60, Spread: 0.4, Slots: []SlotShare{{1, 0.7}, {4, 0.3}}, Aim: 150, Stretch: 2.5, Worth: 3, Keyed: true}},
+		Tenants: []TenantSpec{{"cricket-league", 0.5}, {"tuk-race", 0.5}}}
+}
+
+func play(t *testing.T, s *Spec, seed uint64, plan *room.Config) *Result {
+	w, err := NewWorld(s, seed, plan)
+	require.NoError(t, err)
+	return w.Run()
+}
+
+func TestSameSeedSameDay(t *testing.T) {
+	plan := room.Default()
+	s := shop()
+	s.Troubles = []TroubleSpec{{Kind: "crash", At: 5000, Lasts: 5000, Part: 0.22}, {Kind: "late-reports", At: 4000, Lasts: 8000, Size: 1500}}
+	one, two := play(t, s, 5, &plan), play(t, s, 5, &plan)
+	one.Small.h, one.Large.h, two.Small.h, two.Large.h = nil, nil, nil, nil
+	require.Equal(t, one, two)
+}
+
+// The hard days: each trouble, with room held, and no rule broken.
+func TestRulesHoldOnHardDays(t *testing.T) {
+	for name, change := range map[string]func(*Spec){
+		"calm": func(s *Spec) {},
+		"22% die while reports come late": func(s *Spec) {
+			s.Troubles = []TroubleSpec{{Kind: "crash", At: 5000, Lasts: 6000, Part: 0.22}, {Kind: "late-reports", At: 4000, Lasts: 9000, Size: 4900}}
+		},
+		"half stand still for 80 ms": func(s *Spec) {
+			s.Troubles = []TroubleSpec{{Kind: "pauses", At: 3000, Lasts: 15_000, Part: 0.5, Size: 80, Every: 900}}
+		},
+		"a quarter drains and comes back": func(s *Spec) { s.Troubles = []TroubleSpec{{Kind: "drain", At: 5000, Lasts: 5000, Part: 0.25}} },
+		"a scheduler is killed": func(s *Spec) {
+			s.Schedulers = 3
+			s.Troubles = []TroubleSpec{{Kind: "scheduler", At: 6000, Lasts: 3000}}
+		},
+		"fast errors": func(s *Spec) { s.Troubles = []TroubleSpec{{Kind: "errors", At: 5000, Lasts: 8000, Part: 0.2}} },
+		"the wide share swings": func(s *Spec) {
+			s.Troubles = []TroubleSpec{{Kind: "wide", At: 0, Lasts: 20_000, Part: 0.4, Every: 2000}}
+			w := units.Share(0.05)
+			s.Wide = &w
+		},
+		"memory is short, 30% of words lost": func(s *Spec) {
+			s.DatagramLoss = 0.3
+			s.Kinds[0].Memory, s.Kinds[1].Memory = 8, 8
+			s.Classes[0].Memory, s.Classes[1].Memory = 0.9, 1.2
+		},
+		"overload": func(s *Spec) { s.Level = 1.2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			plan := room.Default()
+			s := shop()
+			change(s)
+			r := play(t, s, 11, &plan)
+			require.Empty(t, r.Broken)
+			require.Greater(t, r.Small.Asked, 1000)
+			if name != "overload" {
+				require.Positive(t, r.Room.Held)
+			}
+		})
+	}
+}
+
+func TestWorkerServesInItsOrder(t *testing.T) {
+	for order, want := range map[Order][]uint64{FIFO: {1, 2, 3, 4}, Fits: {1, 3, 2, 4}, Priority: {1, 4, 2, 3}} {
+		w := NewWorker(WorkerSpec{Slots: 4, Speed: 1, Queue: 9, Order: order}, 1)
+		for i, j := range []Job{{Slots: 2, Work: 10}, {Slots: 4, Work: 10}, {Slots: 1, Work: 10}, {Slots: 4, Work: 10, Priority: 1}} {
+			j.Ref = uint64(i + 1)
+			require.Equal(t, Taken, w.Offer(0, j))
+			if i == 0 {
+				w.Advance(0, func(float64, Note) {})
+			}
+		}
+		got := []uint64{1}
+		for now := 0.0; now < 100; now++ {
+			w.Advance(now, func(_ float64, n Note) {
+				if n.Kind == Started {
+					got = append(got, n.Ref)
+				}
+			})
+		}
+		require.Equal(t, want, got, "order %d", order)
+	}
+}
+
+func TestColdWorkerFallsOver(t *testing.T) {
+	w := NewWorker(WorkerSpec{Slots: 4, Speed: 1, Queue: 1000, ColdFrom: 0.2, ColdFor: 10_000, FallMultiple: 3, FallWindow: 1000}, 1)
+	w.Restart(1000)
+	require.InDelta(t, 0.2, w.Warmth(1000), 1e-9)
+	require.InDelta(t, 0.6, w.Warmth(6000), 1e-9)
+	taken := 0
+	for w.Offer(1100, Job{Slots: 1, Work: 100}) == Taken {
+		taken++
+	}
+	require.True(t, w.Fallen)
+	require.InDelta(t, 26, taken, 2, "3 x 0.2 x 4 slots x 1000 ms, and two jobs of slack")
+}
--- a/internal/room/planner.go
+++ b/internal/room/planner.go
@@ -16,6 +16,10 @@
 	shortMemory = 0.02 // units
 	governEvery = 500.0
 	dropForget  = 0.998 // of the share of small flows that are unserved for what is held, at each one
+	missForget  = 0.999 // the same of those unserved, with room held and without
+	missEnough  = 200   // small flows before that is believed
+	trialEvery  = 2000  // ms: while the governor doubts, nothing is held for the first part
+	trialFor    = 500   // of so long
 	gapGain     = 0.02  // of the quantile by which gaps are judged, for each wrong guess
 	leastScale  = 0.05
 )
@@ -40,6 +44,7 @@
 	started    bool
 	gapUntil   float64 // it went into a gap that ends then; 0: it did not
 	besideHold bool    // room was held while it waited for the attempt that is out
+	trial      bool    // it came while nothing was held, for a trial
 	done       bool    // it is over, and forgotten once its attempt is
 }
 
@@ -88,37 +93,49 @@
 
 // Planner plans for one scheduler.
 type Planner struct {
-	c       Config
-	classes map[string]int
-	times   *book
-	tenants map[string]*tenant
-	flows   map[uint64]*flow
-	targets map[string]*target
-	sizes   []float64                // distinct needs of large flows, ascending
-	ready   [maxSizes]*heap[*target] // by when so many slots are free
-	dirty   []*target
-	queue   heap[*flow] // large ones that wait, by their latest start
-	holds   []*hold     // own
-	foreign map[int][]*hold
-	slots   float64 // of all targets that are up
-	held    float64 // by anybody, as far as told
-	anyHeld float64 // when room was last held
-	quant   float64 // by which gaps are judged
-	scale   float64 // the governor's: of the share that may be held
-	drop    float64 // share of small flows that are unserved for what is held
-	govern  float64 // when it looks next
-	ticking bool
-	turn    int
-	number  uint64
-	free    []*flow
-	spare   []*hold
-	ends    []end
-	tried   []*target
-	acts    []Action
+	c        Config
+	classes  map[string]int
+	times    *book
+	tenants  map[string]*tenant
+	flows    map[uint64]*flow
+	targets  map[string]*target
+	sizes    []float64                // distinct needs of large flows, ascending
+	ready    [maxSizes]*heap[*target] // by when so many slots are free
+	dirty    []*target
+	queue    heap[*flow] // large ones that wait, by their latest start
+	holds    []*hold     // own
+	foreign  map[int][]*hold
+	slots    float64   // of all targets that are up
+	held     float64   // by anybody, as far as told
+	anyHeld  float64   // when room was last held
+	quant    float64   // by which gaps are judged
+	scale    float64   // the governor's: of the share that may be held
+	drop     float64   // share of small flows that are unserved for what is held
+	govern   float64   // when it looks next
+	doubt    bool      // the governor makes trials
+	miss     [2]missed // share of the small flows unserved: with room held, and in trials without
+	ticking  bool
+	turn     int
+	widest   float64 // slots of the largest target,
+	widestAt float64 // looked for again then
+	number   uint64
+	free     []*flow
+	spare    []*hold
+	ends     []end
+	tried    []*target
+	acts     []Action
 
 	Counts Counts
 }
 
+// missed is a share that forgets.
+type missed struct{ share, n float64 }
+
+func (m *missed) add(hit float64) {
+	m.n++
+	m.share += max(1/m.n, 1-missForget) * (hit - m.share)
+}
+
 type end struct{ at, slots, mem float64 }
 
 // New returns a planner, or says which setting is impossible.
@@ -261,6 +278,7 @@
 		t.memory = ev.Memory
 	}
 	t.measured = true
+	p.widest = max(p.widest, t.slots+slack)
 	p.touch(now, t)
 }
 
@@ -354,7 +372,7 @@
 		f = &flow{}
 	}
 	*f = flow{id: ev.Flow, class: class, need: max(ev.Need, 1), mem: ev.Memory, sort: ev.Sort, at: -1}
-	f.size = p.size(f.need)
+	f.size, f.trial = p.size(f.need), p.onTrial(now)
 	f.large = f.need >= p.c.Large
 	p.flows[f.id] = f
 	return f
@@ -399,6 +417,9 @@
 	if f.hold != nil || f.moves > maxMoves || now > f.latest {
 		return
 	}
+	if p.onTrial(now) {
+		return
+	}
 	budget := p.c.Share * p.scale * p.slots
 	if p.held+f.need > budget || f.tenant.held > 0 && f.tenant.held+f.need > p.c.TenantShare*budget {
 		p.Counts.Refused++
@@ -464,7 +485,7 @@
 	for _, t := range p.tried {
 		h.put(t)
 	}
-	if best == nil && len(h.items) > 0 && f.need > p.largest() {
+	if best == nil && len(h.items) > 0 && f.need > p.largest(now) {
 		p.Counts.TooLarge++
 		f.moves = maxMoves + 1
 	} else if best == nil {
@@ -473,14 +494,17 @@
 	return best, from
 }
 
-// largest is the most slots that any target has; only asked for where none was found.
-func (p *Planner) largest() (most float64) {
-	for _, t := range p.targets {
-		if t.up {
-			most = max(most, t.slots+slack)
+// largest is the most slots that any target has, or had a moment ago.
+func (p *Planner) largest(now float64) float64 {
+	if now >= p.widestAt {
+		p.widest, p.widestAt = 0, now+governEvery
+		for _, t := range p.targets {
+			if t.up {
+				p.widest = max(p.widest, t.slots+slack)
+			}
 		}
 	}
-	return most
+	return p.widest
 }
 
 // serves says whether f may wait for room at t at all.
@@ -833,6 +857,15 @@
 			hit = 1
 			p.Counts.SmallHit++
 		}
+		miss := 0.0
+		if !ev.OK {
+			miss = 1
+		}
+		if f.trial {
+			p.miss[1].add(miss)
+		} else {
+			p.miss[0].add(miss)
+		}
 		p.drop = dropForget*p.drop + (1-dropForget)*hit
 		if now >= p.govern {
 			p.govern = now + governEvery
@@ -859,15 +892,33 @@
 	p.free = append(p.free, f)
 }
 
-// governor holds less while small flows lose more by it than the operator allows.
+// governor holds less while small flows lose more by it than the operator allows. Those that
+// went unserved after they waited beside held room are the most that it can have cost. Only
+// where that is too much does it look closer: for a part of the time nothing is held, and
+// what goes unserved then would have anyway.
 func (p *Planner) governor() {
-	if p.drop > p.c.SmallDrop {
-		p.scale = max(leastScale, p.scale/2)
-	} else if p.drop < 0.7*p.c.SmallDrop {
+	if p.drop <= p.c.SmallDrop {
+		p.doubt, p.scale = false, min(1, p.scale+0.1)
+		return
+	}
+	if !p.doubt {
+		p.doubt, p.miss = true, [2]missed{}
+	}
+	if p.miss[0].n < missEnough || p.miss[1].n < missEnough {
+		return
+	}
+	if cost := p.miss[0].share - p.miss[1].share; cost > p.c.SmallDrop {
+		p.scale = max(leastScale, p.scale*0.7)
+	} else if cost < 0.7*p.c.SmallDrop {
 		p.scale = min(1, p.scale+0.1)
 	}
 }
 
+// onTrial says whether nothing is held now, so that it shows what held room costs.
+func (p *Planner) onTrial(now float64) bool {
+	return p.doubt && math.Mod(now, trialEvery) < trialFor
+}
+
 // heard takes in all that another scheduler holds now.
 func (p *Planner) heard(now float64, ev *Event) {
 	old := p.foreign[ev.Who]
--- a/internal/room/planner_test.go
+++ b/internal/room/planner_test.go
@@ -315,13 +315,29 @@
 	scale, _ := h.p.Scale()
 	require.Equal(t, 1.0, scale, "nothing was held: it is not to blame")
 	h.teach("view", 1, 100)
-	h.full("t0", "t1", "t2", "t3")
-	for range 600 {
+	var ids []uint64
+	busy := func(n int) { // the targets run jobs of the usual length, and large ones wait for room
+		if n%10 == 0 {
+			for _, id := range ids {
+				h.end(id)
+			}
+			ids = h.full("t0", "t1", "t2", "t3")
+		}
 		h.large(200)
-		small(false)
+	}
+	for n := range 3000 { // every second one goes unserved, but in trials
+		busy(n)
+		small(h.p.onTrial(h.now) || n%2 > 0)
 	}
 	scale, _ = h.p.Scale()
 	require.Less(t, scale, 0.3)
+	// What goes unserved in trials as well would have done so anyway: nothing is held less.
+	for n := range 6000 {
+		busy(n)
+		small(n%2 > 0)
+	}
+	scale, _ = h.p.Scale()
+	require.Greater(t, scale, 0.5)
 	for range 4000 {
 		small(true)
 	}
