--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,18 +1,16 @@
 package config
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"slices"
 	"strings"
 
-	"github.com/BurntSushi/toml"
-
 	"cottonwell/balance"
 	"cottonwell/internal/clock"
 	"cottonwell/internal/gearman"
 	"cottonwell/internal/room"
+	"cottonwell/internal/tomlfile"
 )
 
 // Operator is the operator's file.
@@ -49,16 +47,8 @@
 		return nil, nil
 	}
 	o := &Operator{}
-	meta, err := toml.DecodeFile(path, o)
-	if err != nil {
-		var at toml.ParseError
-		if errors.As(err, &at) {
-			return nil, fmt.Errorf("operator's file %s:%d: %w", path, at.Position.Line, err)
-		}
-		return nil, fmt.Errorf("operator's file %s: %w", path, err)
-	}
-	if odd := meta.Undecoded(); len(odd) > 0 {
-		return nil, fmt.Errorf("operator's file %s: unknown key %s", path, odd[0])
+	if err := tomlfile.Load(path, o); err != nil {
+		return nil, fmt.Errorf("operator's file %w", err)
 	}
 	return o, nil
 }
--- a/internal/config/room.go
+++ b/internal/config/room.go
@@ -11,13 +11,13 @@
 // Room is the part of the operator's file that sets held room up. docs/ROOM.md explains the
 // keys; what is left out stands at its default.
 type Room struct {
-	Mode        string        `toml:"mode"`
-	Large       *float64      `toml:"large_slots"`
-	Share       *units.Share  `toml:"share"`
-	TenantShare *units.Share  `toml:"tenant_share"`
-	Longest     *units.Millis `toml:"longest"`
-	Confidence  *units.Share  `toml:"confidence"`
-	SmallDrop   *units.Share  `toml:"small_drop"`
+	Mode        string        `toml:"mode,omitempty"`
+	Large       *float64      `toml:"large_slots,omitempty"`
+	Share       *units.Share  `toml:"share,omitempty"`
+	TenantShare *units.Share  `toml:"tenant_share,omitempty"`
+	Longest     *units.Millis `toml:"longest,omitempty"`
+	Confidence  *units.Share  `toml:"confidence,omitempty"`
+	SmallDrop   *units.Share  `toml:"small_drop,omitempty"`
 }
 
 var roomModes = map[string]room.Mode{"": room.Backfill, "backfill": room.Backfill, "no-backfill": room.NoBackfill, "emptying": room.Emptying}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -28,6 +28,6 @@
 	// The module answers by itself before its client leaves; this timer is for the day it does not.
 	c.timers.add(timer{at: f.deadline + clock.Millis(c.cfg.Settings.AnswerSlack)/2, what: flowTimer, id: f.number})
 	c.step(balance.Event{Kind: balance.Arrived, Request: f.number, Class: f.Class, Key: f.Subject,
-		Budget: clock.Duration(f.deadline - c.clock.Now()), Hint: clock.Duration(f.Hint), Slots: f.Slots, Repeat: f.Repeat,
+		Budget: clock.Duration(f.deadline - c.clock.Now()), Hint: clock.Duration(f.Hint), Slots: f.Slots, Memory: f.Memory, Tenant: f.Tenant, Repeat: f.Repeat,
 		First: f.First, Priority: f.Job.Priority})
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -19,6 +19,7 @@
 	Subject  string  // what it is about, or empty
 	Patience float64 // milliseconds until the client leaves
 	Slots    float64
+	Memory   float64 // units that it needs, 0 when unknown
 	Hint     float64 // expected work in milliseconds, 0 when unknown
 	Repeat   bool    // the client marks it as a later try
 	First    bool    // the front knows that it is none
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cottonwell/balance"
+	"cottonwell/internal/room"
 	"cottonwell/internal/tell"
 )
 
@@ -130,3 +131,78 @@
 	h.step(balance.Event{Kind: balance.Listed, List: balance.Whole, Members: members("s-4")})
 	require.Equal(t, map[tell.Name][]string{tell.NameOf("s-4"): {"s-4"}}, d.names)
 }
+
+func plan() *room.Config {
+	c := room.Default()
+	c.Share, c.TenantShare = 1, 1
+	return &c
+}
+
+// busy fills every target of four slots with jobs that started just now, and returns them.
+func (h *host) busy(first uint64, n int) (ids []uint64) {
+	for id := first; id < first+uint64(n); id++ {
+		a := find(h.step(balance.Event{Kind: balance.Arrived, Request: id, Class: "view", Tenant: "t", Budget: 5 * time.Second, Slots: 1}), balance.Send)
+		if a == nil {
+			break
+		}
+		h.step(balance.Event{Kind: balance.Noted, Request: id, Worker: a.Worker, Started: true})
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func (h *host) end(id uint64, free float64) {
+	h.step(balance.Event{Kind: balance.Ended, Request: id, Worker: "s-1", Result: balance.OK, Final: true,
+		Report: balance.Report{Present: true, InFlight: 4 - free, Free: free}})
+}
+
+// Failure (first run on sockets): times of a real clock were cut off at thirty years, timers
+// came due at once, and the program did nothing else. And the way of held room as a whole: a
+// large job waits, room is held for it and told, small ones leave it alone, it is sent.
+func TestRoomOnARealClock(t *testing.T) {
+	d, err := New(settings(0, 2), 1, plan())
+	require.NoError(t, err)
+	h := &host{T: t, d: d, now: time.Duration(1.8e18), due: map[uint64]time.Duration{}}
+	h.step(balance.Event{Kind: balance.Listed, List: balance.FromDisk, Members: members("s-1")})
+	h.step(balance.Event{Kind: balance.Probed, Worker: "s-1", Report: balance.Report{Present: true, Free: 4}})
+	for round := range uint64(8) { // running times are learned
+		for _, id := range h.busy(100+10*round, 4) {
+			h.elapse(20 * ms)
+			h.end(id, 4)
+		}
+	}
+	ids := h.busy(1000, 4)
+	require.Len(t, ids, 4)
+	acts := h.step(balance.Event{Kind: balance.Arrived, Request: 2000, Class: "buy", Tenant: "t", Budget: 5 * time.Second, Slots: 4})
+	require.Nil(t, find(acts, balance.Send))
+	require.Equal(t, 1, d.Room().Counts.Held)
+	for _, a := range acts {
+		if a.Kind == balance.Wake {
+			require.Greater(t, a.After, 4*ms, "timer %x", a.Timer)
+		}
+	}
+	word := find(h.elapse(tellEvery), balance.Tell)
+	require.NotNil(t, word)
+	var m tell.Message
+	require.NoError(t, tell.Parse(word.Raw, &m))
+	require.Equal(t, []tell.Hold{{Target: tell.NameOf("s-1"), Slots: 4, From: m.Holds[0].From}}, m.Holds)
+	h.end(ids[0], 1)
+	require.Nil(t, find(h.step(balance.Event{Kind: balance.Arrived, Request: 3000, Class: "view", Tenant: "t", Budget: 5 * time.Second, Slots: 1}), balance.Send),
+		"a small job took a slot that is held")
+	h.end(ids[1], 2)
+	h.end(ids[2], 3)
+	h.end(ids[3], 4)
+	require.Equal(t, 1, d.Room().Counts.LetGo[room.Placed])
+
+	// Another scheduler hears of the room, and leaves it alone until the word is too old.
+	two, err := New(settings(1, 2), 2, plan())
+	require.NoError(t, err)
+	other := start(t, two, "s-1")
+	other.step(balance.Event{Kind: balance.Probed, Worker: "s-1", Report: balance.Report{Present: true, Free: 4}})
+	other.step(balance.Event{Kind: balance.PeerSpoke, Who: 0, Raw: word.Raw})
+	small := balance.Event{Kind: balance.Arrived, Request: 1, Class: "view", Tenant: "t", Budget: 5 * time.Second, Slots: 1}
+	require.Nil(t, find(other.step(small), balance.Send))
+	require.NotNil(t, find(other.elapse(toldFor+2*tellEvery), balance.Refuse), "room that is held for too long costs a small job its time")
+	small.Request = 2
+	require.NotNil(t, find(other.step(small), balance.Send), "a silent scheduler still holds room")
+}
--- a/internal/decide/room.go
+++ b/internal/decide/room.go
@@ -21,8 +21,10 @@
 
 func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
+// span turns the planner's unit into the module's. A time on a real clock, from the Unix
+// epoch, lies within these limits, and the infinite one without.
 func span(ms float64) time.Duration {
-	return time.Duration(max(-1e12, min(1e12, ms)) * float64(time.Millisecond))
+	return time.Duration(max(-9e12, min(9e12, ms)) * float64(time.Millisecond))
 }
 
 // startRoom sets the planner up. What the settings say wins over what the plan says of them.
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -19,7 +19,7 @@
 		DialTimeout: 250 * time.Millisecond, AnswerSlack: 20 * time.Millisecond, AskWithin: 10 * time.Second, ColdFrom: 0.15,
 		ColdFor: 24 * time.Second, DrainGrace: 250 * time.Millisecond, FallMultiple: 3, FallWindow: time.Second,
 		Prices: balance.Prices{Probe: 0.0019},
-		Goal: balance.Goal{Whole: 0.45, WorstWindow: 0.15, WorstClass: 0.3}}
+		Goal:   balance.Goal{Whole: 0.45, WorstWindow: 0.15, WorstClass: 0.3}}
 	cold := 0.0
 	for _, k := range s.Kinds {
 		cold = max(cold, float64(k.ColdFor))
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,308 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"cottonwell/internal/emulator"
+	"cottonwell/internal/net/httpio"
+	"cottonwell/internal/shopfront"
+)
+
+// Options are how an experiment is run.
+type Options struct {
+	Quick     bool
+	Seed      uint64 // of the first day
+	Scheduler string // the program
+	Out       string // folder for the schedulers' logs
+	Log       *slog.Logger
+	Step      func(done, all int) // after each day; may be nil
+}
+
+// Do runs an experiment.
+func (e *Experiment) Do(ctx context.Context, o Options) (*Summary, error) {
+	s := &Summary{Title: e.Title, About: e.About, Engine: e.Engine, Quick: o.Quick}
+	n := e.Seeds
+	if o.Quick {
+		n = e.QuickSeeds
+	}
+	for i := range n {
+		s.Seeds = append(s.Seeds, o.Seed+uint64(i))
+	}
+	for _, v := range e.Variants {
+		s.Order = append(s.Order, v.Name)
+	}
+	// Variants of one cell and seed follow one another, so that a machine that gets slower
+	// does so for all.
+	for _, c := range e.cells(o.Quick) {
+		for _, seed := range s.Seeds {
+			for _, v := range e.Variants {
+				s.Runs = append(s.Runs, Run{Variant: v.Name, Cell: c, Seed: seed})
+			}
+		}
+	}
+	if err := e.days(ctx, o, s); err != nil {
+		return nil, err
+	}
+	s.check(e)
+	return s, nil
+}
+
+func (e *Experiment) days(ctx context.Context, o Options, s *Summary) error {
+	lanes := 1
+	if e.Engine == "model" {
+		lanes = runtime.NumCPU()
+	}
+	inner, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	next, done := 0, 0
+	for range lanes {
+		all.Go(func() {
+			for {
+				mu.Lock()
+				i := next
+				next++
+				mu.Unlock()
+				if i >= len(s.Runs) || inner.Err() != nil {
+					return
+				}
+				res, err := e.day(inner, o, &s.Runs[i])
+				if err != nil {
+					cancel(fmt.Errorf("%s, %v, seed %d: %w", s.Runs[i].Variant, s.Runs[i].Cell, s.Runs[i].Seed, err))
+					return
+				}
+				s.Runs[i].Result = *res
+				mu.Lock()
+				done++
+				if o.Step != nil {
+					o.Step(done, len(s.Runs))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	if inner.Err() != nil {
+		return context.Cause(inner)
+	}
+	return nil
+}
+
+func (e *Experiment) variant(name string) *Variant {
+	for i := range e.Variants {
+		if e.Variants[i].Name == name {
+			return &e.Variants[i]
+		}
+	}
+	return nil
+}
+
+func (e *Experiment) day(ctx context.Context, o Options, r *Run) (*emulator.Result, error) {
+	v, spec := e.variant(r.Variant), e.spec(r.Cell, o.Quick)
+	if e.Engine == "model" {
+		w, err := emulator.NewWorld(spec, r.Seed, v.plan())
+		if err != nil {
+			return nil, err
+		}
+		return w.Run(), nil
+	}
+	t, err := StartTier(spec, r.Seed, v, o)
+	if err != nil {
+		return nil, err
+	}
+	defer t.Kill()
+	if err := t.Ready(ctx); err != nil {
+		return nil, err
+	}
+	res := t.Shop.Play(ctx, r.Seed, nil)
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	if err := t.Dead(); err != nil {
+		return nil, err
+	}
+	return res, nil
+}
+
+// Tier is an emulated shop with real scheduler processes before it.
+type Tier struct {
+	Shop  *shopfront.Shop
+	dir   string
+	nodes []*node
+}
+
+type node struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+	log  *os.File
+}
+
+// StartTier opens a shop and starts its schedulers.
+func StartTier(spec *emulator.Spec, seed uint64, v *Variant, o Options) (t *Tier, err error) {
+	t = &Tier{}
+	defer func() {
+		if err != nil {
+			t.Kill()
+		}
+	}()
+	if t.dir, err = os.MkdirTemp("", "cottonlab-"); err != nil {
+		return nil, err
+	}
+	if t.Shop, err = shopfront.Open(spec, seed, o.Log); err != nil {
+		return nil, err
+	}
+	t.Shop.Run()
+	args := []string{"serve", "--log", "warn"}
+	if v != nil && v.Room != nil {
+		path := filepath.Join(t.dir, "operator.toml")
+		f, err := os.Create(path)
+		if err != nil {
+			return nil, err
+		}
+		err = toml.NewEncoder(f).Encode(map[string]any{"room": v.Room})
+		if cerr := f.Close(); err == nil {
+			err = cerr
+		}
+		if err != nil {
+			return nil, fmt.Errorf("operator's file: %w", err)
+		}
+		args = append(args, "--operator", path)
+	}
+	for i, n := range t.Shop.Nodes() {
+		data, err := t.Shop.Config(i, seed)
+		if err != nil {
+			return nil, err
+		}
+		path := filepath.Join(t.dir, n.Name+".json")
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return nil, err
+		}
+		if err := t.start(o, n.Name, append(args, "--config", path)); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+func (t *Tier) start(o Options, name string, args []string) error {
+	n := &node{cmd: exec.Command(o.Scheduler, args...), done: make(chan struct{})}
+	n.cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
+	var err error
+	if o.Out != "" {
+		if n.log, err = os.OpenFile(filepath.Join(o.Out, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644); err != nil {
+			return err
+		}
+		n.cmd.Stdout, n.cmd.Stderr = n.log, n.log
+	} else {
+		n.cmd.Stdout, n.cmd.Stderr = io.Discard, io.Discard
+	}
+	if err := n.cmd.Start(); err != nil {
+		return fmt.Errorf("scheduler: %w", err)
+	}
+	t.nodes = append(t.nodes, n)
+	go func() {
+		n.err = n.cmd.Wait()
+		close(n.done)
+	}()
+	return nil
+}
+
+// Ready waits until every scheduler takes requests.
+func (t *Tier) Ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
+	defer cancel()
+	for i, n := range t.Shop.Nodes() {
+		for !httpio.Up(n.Listen, time.Second) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("scheduler %s is not ready: %w", n.Name, ctx.Err())
+			case <-t.nodes[i].done:
+				return fmt.Errorf("scheduler %s ended at its start: %v", n.Name, t.nodes[i].err)
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// Dead says which scheduler ended by itself.
+func (t *Tier) Dead() error {
+	for i, n := range t.nodes {
+		select {
+		case <-n.done:
+			return fmt.Errorf("scheduler n%d ended by itself: %v", i, n.err)
+		default:
+		}
+	}
+	return nil
+}
+
+// Stop ends the schedulers as a planned restart would, and then the shop.
+func (t *Tier) Stop() {
+	for _, n := range t.nodes {
+		// One that has ended cannot be told, and need not be.
+		_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, n := range t.nodes {
+		select {
+		case <-n.done:
+		case <-time.After(6 * time.Second):
+		}
+	}
+	t.Kill()
+}
+
+// Kill ends the schedulers at once, and then the shop.
+func (t *Tier) Kill() {
+	for _, n := range t.nodes {
+		_ = n.cmd.Process.Kill() // likewise
+		<-n.done
+		if n.log != nil {
+			n.log.Close()
+		}
+	}
+	if t.Shop != nil {
+		t.Shop.Close()
+	}
+	if t.dir != "" {
+		os.RemoveAll(t.dir)
+	}
+}
+
+// Write leaves the summary in a folder.
+func (s *Summary) Write(dir string) error {
+	data, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "summary.json"), append(data, '\n'), 0o644)
+}
+
+// Read reads the summary that a folder holds.
+func Read(dir string) (*Summary, error) {
+	path := filepath.Join(dir, "summary.json")
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s := &Summary{}
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
--- a/internal/net/httpio/load.go
+++ b/internal/net/httpio/load.go
@@ -38,6 +38,8 @@
 			rep.Waiting = max(x, 0)
 		case "x0":
 			rep.Free = max(x, 0)
+		case "x1":
+			rep.Memory = max(x, 0.001) // 0 would say that none is reported
 		default:
 			continue
 		}
--- /dev/null
+++ b/internal/net/httpio/up.go
@@ -0,0 +1,30 @@
+package httpio
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Up asks a scheduler whether it is ready, within a time.
+func Up(address string, within time.Duration) bool {
+	c, err := net.DialTimeout("tcp", address, within)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(within)); err != nil {
+		return false
+	}
+	if _, err := fmt.Fprintf(c, "GET /up HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", address); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- a/internal/net/listener/parse.go
+++ b/internal/net/listener/parse.go
@@ -104,14 +104,15 @@
 func parseLabels(s string, r *core.Request) error {
 	for part := range strings.SplitSeq(s, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if name != "slots" {
+		to := map[string]*float64{"slots": &r.Slots, "ram-units": &r.Memory}[name]
+		if to == nil {
 			continue
 		}
 		x, err := strconv.ParseFloat(value, 64)
 		if err != nil || !(x > 0 && x < 1e6) {
-			return fmt.Errorf("slots=%q is not a number of slots", value)
+			return fmt.Errorf("%s=%q is not a number of %[1]s", name, value)
 		}
-		r.Slots = x
+		*to = x
 	}
 	return nil
 }
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -39,3 +39,13 @@
 	*s = Share(x / 100)
 	return nil
 }
+
+// MarshalText writes a time as it is read.
+func (m Millis) MarshalText() ([]byte, error) {
+	return []byte(strconv.FormatFloat(float64(m), 'f', -1, 64) + "ms"), nil
+}
+
+// MarshalText writes a share as it is read.
+func (s Share) MarshalText() ([]byte, error) {
+	return []byte(strconv.FormatFloat(100*float64(s), 'f', -1, 64) + "%"), nil
+}
