--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -18,6 +18,8 @@
 	Outcomes                             [8]int         // by balance.Result
 	Dropped                              map[string]int // late news, by what it was
 	Open, Targets                        int
+	Room                                 slog.Value // of held room; empty while it is off
+	Strange                              int        // datagrams that could not be read
 }
 
 func (b *Books) outcome(r balance.Result) {
@@ -93,6 +95,9 @@
 func (e readBooks) apply(c *Core) {
 	b := c.books
 	b.Dropped = maps.Clone(b.Dropped)
-	b.Open, b.Targets = c.open, len(c.targets)
+	b.Open, b.Targets, b.Strange = c.open, len(c.targets), c.module.Strange
+	if p := c.module.Room(); p != nil {
+		b.Room = p.LogValue()
+	}
 	e.ch <- b
 }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -14,7 +14,7 @@
 
 // Settings are the module's, as a scheduler of this shop is told them.
 func (s *Spec) Settings(self int) balance.Settings {
-	out := balance.Settings{Self: self, Fleet: s.Schedulers, Zone: s.Zones[self%len(s.Zones)], Tick: time.Millisecond, ReportsFree: true,
+	out := balance.Settings{Self: self, Fleet: s.Schedulers, Zone: s.Zones[self%len(s.Zones)], Tick: 5 * time.Millisecond, ReportsFree: true,
 		TellsStart: true, MaxAttempts: 3, Cancel: true, Probes: true, Peers: true, Subscribe: true, StreamsPerConn: 1, ConnIdle: 30 * time.Second,
 		DialTimeout: 250 * time.Millisecond, AnswerSlack: 20 * time.Millisecond, AskWithin: 10 * time.Second, ColdFrom: 0.15,
 		ColdFor: 24 * time.Second, DrainGrace: 250 * time.Millisecond, FallMultiple: 3, FallWindow: time.Second,
--- a/internal/room/planner.go
+++ b/internal/room/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"math"
 	"slices"
 )
@@ -17,10 +18,16 @@
 	governEvery = 500.0
 	dropForget  = 0.998 // of the share of small flows that are unserved for what is held, at each one
 	missForget  = 0.999 // the same of those unserved, with room held and without
-	missEnough  = 200   // small flows before that is believed
-	trialEvery  = 2000  // ms: while the governor doubts, nothing is held for the first part
-	trialFor    = 500   // of so long
-	gapGain     = 0.02  // of the quantile by which gaps are judged, for each wrong guess
+	missEnough  = 200   // small flows before that is believed,
+	lackEnough  = 40    // and large ones
+	firstScale  = 0.3   // of the share that may be held, at the start
+	trialEvery  = 2400  // ms: while the governor doubts, nothing is held for the first part,
+	trialFor    = 800   // of so long,
+	trialAfter  = 300   // and what comes so long after its begin counts for it
+	growStep    = 0.025 // of the governor's scale, in one look
+	dropMost    = 2.0   // times what the operator allows: no trial is needed
+	shrinkStep  = 0.5
+	gapGain     = 0.02 // of the quantile by which gaps are judged, for each wrong guess
 	leastScale  = 0.05
 )
 
@@ -44,7 +51,8 @@
 	started    bool
 	gapUntil   float64 // it went into a gap that ends then; 0: it did not
 	besideHold bool    // room was held while it waited for the attempt that is out
-	trial      bool    // it came while nothing was held, for a trial
+	trial      bool    // it came while nothing was held, for a trial,
+	unclear    bool    // and what had been held may still show
 	done       bool    // it is over, and forgotten once its attempt is
 }
 
@@ -113,7 +121,8 @@
 	drop     float64   // share of small flows that are unserved for what is held
 	govern   float64   // when it looks next
 	doubt    bool      // the governor makes trials
-	miss     [2]missed // share of the small flows unserved: with room held, and in trials without
+	miss     [3]missed // share of the small flows unserved: with room held, and in trials without
+	lack     [3]missed // the same of the large ones
 	ticking  bool
 	turn     int
 	widest   float64 // slots of the largest target,
@@ -145,7 +154,7 @@
 	}
 	p := &Planner{c: c, classes: map[string]int{}, times: newBook(len(c.Classes)), tenants: map[string]*tenant{},
 		flows: map[uint64]*flow{}, targets: map[string]*target{}, foreign: map[int][]*hold{},
-		quant: c.Confidence, scale: 1, anyHeld: math.Inf(-1)}
+		quant: c.Confidence, scale: firstScale, anyHeld: math.Inf(-1)}
 	for i, name := range c.Classes {
 		p.classes[name] = i
 	}
@@ -373,6 +382,7 @@
 	}
 	*f = flow{id: ev.Flow, class: class, need: max(ev.Need, 1), mem: ev.Memory, sort: ev.Sort, at: -1}
 	f.size, f.trial = p.size(f.need), p.onTrial(now)
+	f.unclear = f.trial && math.Mod(now, trialEvery) < trialAfter
 	f.large = f.need >= p.c.Large
 	p.flows[f.id] = f
 	return f
@@ -421,6 +431,9 @@
 		return
 	}
 	budget := p.c.Share * p.scale * p.slots
+	if p.held == 0 && p.scale >= firstScale { // in a small group, one hold may be more than that
+		budget = p.c.Share * p.slots
+	}
 	if p.held+f.need > budget || f.tenant.held > 0 && f.tenant.held+f.need > p.c.TenantShare*budget {
 		p.Counts.Refused++
 		return
@@ -850,22 +863,26 @@
 	if f == nil {
 		return
 	}
-	if !f.large {
+	k, miss := 0, 0.0
+	if f.trial {
+		k = 1
+	}
+	if f.unclear {
+		k = 2
+	}
+	if !ev.OK {
+		miss = 1
+	}
+	if f.large {
+		p.lack[k].add(miss)
+	} else {
+		p.miss[k].add(miss)
 		p.Counts.SmallOver++
 		hit := 0.0
 		if !ev.OK && (f.besideHold || f.waits && p.anyHeldSince(f.waitFrom)) {
 			hit = 1
 			p.Counts.SmallHit++
 		}
-		miss := 0.0
-		if !ev.OK {
-			miss = 1
-		}
-		if f.trial {
-			p.miss[1].add(miss)
-		} else {
-			p.miss[0].add(miss)
-		}
 		p.drop = dropForget*p.drop + (1-dropForget)*hit
 		if now >= p.govern {
 			p.govern = now + governEvery
@@ -895,22 +912,30 @@
 // governor holds less while small flows lose more by it than the operator allows. Those that
 // went unserved after they waited beside held room are the most that it can have cost. Only
 // where that is too much does it look closer: for a part of the time nothing is held, and
-// what goes unserved then would have anyway.
+// what goes unserved then would have anyway. Large flows that fare no better with held room
+// than without are a reason to hold less, too.
 func (p *Planner) governor() {
 	if p.drop <= p.c.SmallDrop {
-		p.doubt, p.scale = false, min(1, p.scale+0.1)
+		p.doubt, p.scale = false, min(1, p.scale+growStep)
 		return
 	}
 	if !p.doubt {
-		p.doubt, p.miss = true, [2]missed{}
+		p.doubt, p.miss, p.lack = true, [3]missed{}, [3]missed{}
+	}
+	if p.drop > dropMost*p.c.SmallDrop {
+		p.scale = max(leastScale, p.scale*shrinkStep)
+		return
 	}
 	if p.miss[0].n < missEnough || p.miss[1].n < missEnough {
 		return
 	}
-	if cost := p.miss[0].share - p.miss[1].share; cost > p.c.SmallDrop {
-		p.scale = max(leastScale, p.scale*0.7)
-	} else if cost < 0.7*p.c.SmallDrop {
-		p.scale = min(1, p.scale+0.1)
+	cost := p.miss[0].share - p.miss[1].share
+	vain := p.lack[0].n >= lackEnough && p.lack[1].n >= lackEnough && p.lack[0].share >= p.lack[1].share
+	// What is held now shows in what goes unserved a while later, so it turns back early.
+	if cost > 0.6*p.c.SmallDrop || vain {
+		p.scale = max(leastScale, p.scale*shrinkStep)
+	} else if cost < 0.3*p.c.SmallDrop {
+		p.scale = min(1, p.scale+growStep/2)
 	}
 }
 
@@ -996,3 +1021,27 @@
 	}
 	return ids
 }
+
+// Trials is what share of the small flows went unserved while room was held and, in trials,
+// while none was; doubt says whether the governor makes any.
+func (p *Planner) Trials() (held, without float64, doubt bool) {
+	return p.miss[0].share, p.miss[1].share, p.doubt
+}
+
+// LogValue is the planner's account for the books. docs/ROOM.md explains the words.
+func (p *Planner) LogValue() slog.Value {
+	c := &p.Counts
+	held, without, doubt := p.Trials()
+	attrs := []slog.Attr{slog.Int("held", c.Held), slog.Int("moved", c.Moved), slog.Int("now", len(p.holds)), slog.Int("gaps", c.Gaps), slog.Int("wrong", c.Wrong),
+		slog.Int("too_large", c.TooLarge), slog.Int("untenable", c.Untenable), slog.Int("refused", c.Refused), slog.Int("bounded", c.Bounded),
+		slog.Float64("scale", round(p.scale)), slog.Float64("drop", round(p.drop)), slog.Bool("doubt", doubt),
+		slog.Float64("unserved_held", round(held)), slog.Float64("unserved_without", round(without)), slog.Float64("quantile", round(p.quant))}
+	for why, n := range c.LetGo {
+		if n > 0 {
+			attrs = append(attrs, slog.Int(Reason(why).String(), n))
+		}
+	}
+	return slog.GroupValue(attrs...)
+}
+
+func round(x float64) float64 { return math.Round(1000*x) / 1000 }
--- a/internal/shopfront/shopfront.go
+++ b/internal/shopfront/shopfront.go
@@ -92,6 +92,7 @@
 	id    string
 	sched int
 	a     *emulator.Arrival
+	quit  bool // given up
 }
 
 // Open binds the shop's sockets. Nothing is served before Run.
@@ -291,7 +292,7 @@
 		stretch, kind = append(stretch, c.Stretch), append(kind, -1)
 	}
 	settings := map[string]any{"me": i, "fleet-size": spec.Schedulers, "locality": m.Zone, "localities": spec.Zones, "kinds": kinds,
-		"tick-us": 1000, "counted-by": "request", "family": "jobs", "registry-mode": "subscribe", "classes": classes,
+		"tick-us": m.Tick.Microseconds(), "counted-by": "request", "family": "jobs", "registry-mode": "subscribe", "classes": classes,
 		"family-info": map[string]any{"class-kind": kind, "class-stretch": stretch, "tells-start": true, "progress-us": 0, "report-x0": "free slots", "report-x1": "free memory"},
 		"load-info":   map[string]any{"how": "piggyback", "names": []any{"active", "waiting", "x0", "x1"}},
 		"permissions": map[string]any{"attempts-cap": 3, "cancel": true, "may-duplicate": false, "probes": true, "may-tell": spec.Schedulers > 1, "retry-after": false,
@@ -418,6 +419,7 @@
 		}
 		switch {
 		case r.Method == "DELETE": // whether it stops is up to the worker, and these do not
+			w.quit(strings.TrimPrefix(r.URL.Path, "/jobs/"))
 			rw.WriteHeader(http.StatusOK)
 			return
 		case r.URL.Path == "/alive" || r.URL.Path == "/metrics/load":
@@ -434,6 +436,18 @@
 	})
 }
 
+// quit notes that a scheduler gave an attempt up: a further one is no second copy.
+func (w *worker) quit(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, j := range w.jobs {
+		if j.id == id && !j.quit {
+			j.quit = true
+			w.shop.ended(id)
+		}
+	}
+}
+
 // reset ends a connection without a word.
 func (w *worker) reset(rw http.ResponseWriter) {
 	if c, _, err := http.NewResponseController(rw).Hijack(); err == nil {
@@ -476,7 +490,7 @@
 	}
 	load := w.report()
 	if ans == emulator.Taken {
-		w.jobs[w.last] = &job{id, sched, a}
+		w.jobs[w.last] = &job{id: id, sched: sched, a: a}
 	}
 	w.mu.Unlock()
 	rw.Header().Set("X-Pressure", load)
@@ -569,12 +583,10 @@
 		ev["state"] = "started"
 	case emulator.Done:
 		ev["state"], ev["result"], ev["load"] = "done", "done "+j.id, w.figures()
-		delete(w.jobs, n.Ref)
-		w.shop.ended(j.id)
+		w.over(n.Ref, j)
 	case emulator.Lost:
 		ev["state"] = "lost"
-		delete(w.jobs, n.Ref)
-		w.shop.ended(j.id)
+		w.over(n.Ref, j)
 	}
 	data, err := json.Marshal(ev)
 	if err != nil {
@@ -585,6 +597,13 @@
 	w.shop.all.Go(func() { w.shop.callBack(url, data) })
 }
 
+func (w *worker) over(ref uint64, j *job) {
+	delete(w.jobs, ref)
+	if !j.quit {
+		w.shop.ended(j.id)
+	}
+}
+
 // callBack tries until it is answered, ten times at most.
 func (s *Shop) callBack(url string, data []byte) {
 	for range 10 {
