--- a/cmd/cottonlab/up.go
+++ b/cmd/cottonlab/up.go
@@ -91,8 +91,9 @@
 		if err := t.Dead(); err != nil {
 			return err
 		}
+		slots, holds := t.Shop.Held()
 		mu.Lock()
-		line := fmt.Sprintf("%4d s  served %d  refused %d  failed %d  left %d  rules broken %v", n, counts["served"], counts["refused"], counts["failed"], counts["left"], t.Shop.Broken())
+		line := fmt.Sprintf("%4d s  served %d  refused %d  failed %d  left %d  room held %d times, %.0f slots now  rules broken %v", n, counts["served"], counts["refused"], counts["failed"], counts["left"], holds, slots, t.Shop.Broken())
 		mu.Unlock()
 		fmt.Fprintln(stdout, line)
 	}
--- a/internal/shopfront/clients.go
+++ b/internal/shopfront/clients.go
@@ -71,6 +71,7 @@
 	}
 	all.Wait()
 	res.Broken = s.Broken()
+	_, res.Room.Held = s.Held()
 	res.Finish()
 	return res
 }
--- a/internal/shopfront/shopfront.go
+++ b/internal/shopfront/shopfront.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"cottonwell/internal/emulator"
+	"cottonwell/internal/tell"
 )
 
 // Shop is an emulated shop on sockets.
@@ -48,6 +49,8 @@
 	changed  chan struct{} // closed at each change of the list
 	attempts map[string]*story
 	broken   map[string]int
+	held     []map[tell.Name]float64 // slots, by scheduler, as told in datagrams
+	holds    int                     // told of so far
 }
 
 // Node is what a scheduler of the shop is told.
@@ -128,6 +131,7 @@
 			return fail(err)
 		}
 		s.peers, s.scheds = append(s.peers, p), append(s.scheds, n)
+		s.held = append(s.held, map[tell.Name]float64{})
 	}
 	var err error
 	if s.relay, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
@@ -238,6 +242,7 @@
 			continue
 		}
 		raw := bytes.Clone(buf[:n])
+		s.overhear(who, string(raw))
 		for i := range s.scheds {
 			s.mu.Lock()
 			lost, delay := s.rng.Float64() < float64(s.spec.DatagramLoss), float64(s.spec.DatagramDelay)*(0.5+s.rng.Float64())
@@ -254,6 +259,37 @@
 	}
 }
 
+// overhear keeps what schedulers say that they hold.
+func (s *Shop) overhear(who int, raw string) {
+	var m tell.Message
+	if tell.Parse(raw, &m) != nil {
+		s.breaks("datagram-unreadable")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.held[who]
+	s.held[who] = map[tell.Name]float64{}
+	for _, h := range m.Holds {
+		if before[h.Target] == 0 {
+			s.holds++
+		}
+		s.held[who][h.Target] = h.Slots
+	}
+}
+
+// Held is the slots that all schedulers hold now, and the holds that they told of so far.
+func (s *Shop) Held() (slots float64, holds int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.held {
+		for _, x := range m {
+			slots += x
+		}
+	}
+	return slots, s.holds
+}
+
 func (s *Shop) breaks(rule string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
