Keep the shopfront's test from writing what workers read

The race run of test.sh found the test changing the load and a scheduler's address while the shop ran. Both are set before it runs, or given as a new load.

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -53,7 +53,7 @@
 		"figure without unit": {`length = "3s"`, `length = "3000"`, `:7: shop.length: "3000" is not a time with its unit`},
 		"share without sign":  {`level = "80%"`, `level = "0.8"`, `:5: shop.level: "0.8" is not a share`},
 		"no workers":          {`count = 6`, `count = 0`, "a fleet of no workers"},
-		"broken toml":         {`[shop]`, `[shop`, ":4: "},
+		"broken toml":         {`[shop]`, `[shop`, ":5: expected"},
 		"no variant's name":   {`name = "room"`, `name = "none"`, `variant "none" has no name of its own`},
 		"planner's setting":   {`large_slots = 4.0`, `confidence = "10%"`, `variant "room": room.confidence`},
 		"unknown engine":      {`"model"`, `"paper"`, `engine is "paper"`},
--- a/internal/shopfront/shopfront_test.go
+++ b/internal/shopfront/shopfront_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -18,20 +19,24 @@
 	"cottonwell/internal/emulator"
 )
 
-func shop(t *testing.T) *Shop {
+// shop opens one; listen, if given, is where its first scheduler is.
+func shop(t *testing.T, listen ...string) *Shop {
 	spec := &emulator.Spec{Schedulers: 2, Level: 0.2, Length: 1000, Retries: 1,
 		Kinds:   []emulator.KindSpec{{Name: "m", Count: 2, Slots: 2, Queue: 1, Memory: 4}},
 		Classes: []emulator.ClassSpec{{Name: "buy", Share: 1, Runs: 20, Aim: 100, Stretch: 2, Keyed: true}}}
 	s, err := Open(spec, 1, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
-	s.Run()
+	for i := range listen {
+		s.scheds[i].Listen = listen[i]
+	}
 	s.mu.Lock()
 	s.arrivals = spec.Arrivals(1)
 	for i := range s.arrivals {
 		s.arrivals[i].Work, s.arrivals[i].Slots = 20, 2
 	}
 	s.mu.Unlock()
+	s.Run()
 	return s
 }
 
@@ -51,7 +56,6 @@
 // A job by the platform's protocol: taken with 202, told of by call-backs; what the protocol
 // says of other requests; and what the checker counts.
 func TestWorkerSpeaksTheProtocol(t *testing.T) {
-	s := shop(t)
 	events := make(chan map[string]any, 16)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -64,7 +68,7 @@
 	})}
 	go srv.Serve(ln)
 	t.Cleanup(func() { srv.Close() })
-	s.scheds[0].Listen = ln.Addr().String()
+	s := shop(t, ln.Addr().String())
 	at := func(n int) string { return "http://" + s.workers[n].lns[0].Addr().String() }
 	send := func(n int, id string) int {
 		req, err := http.NewRequest("POST", at(n)+"/buy", strings.NewReader("{}"))
@@ -91,9 +95,12 @@
 	require.Empty(t, s.Broken())
 
 	// One runs, one waits, the third is turned away unseen; then a second copy elsewhere.
+	s.mu.Lock()
+	s.arrivals = slices.Clone(s.arrivals) // the workers read those of before
 	for i := range s.arrivals {
 		s.arrivals[i].Work = 60_000
 	}
+	s.mu.Unlock()
 	require.Equal(t, 202, send(0, "00000001-0"))
 	require.Equal(t, "started", next()["state"])
 	require.Equal(t, 202, send(0, "00000002-0"))
