--- a/cmd/cottonlab/up.go
+++ b/cmd/cottonlab/up.go
@@ -44,14 +44,11 @@
 			return bad(err)
 		}
 	}
-	t, err := lab.StartTier(&l.Shop, o.Seed, &lab.Variant{Name: "local", Room: l.Room}, o)
+	t, err := lab.StartReady(ctx, &l.Shop, o.Seed, &lab.Variant{Name: "local", Room: l.Room}, o)
 	if err != nil {
 		return err
 	}
 	defer t.Stop()
-	if err := t.Ready(ctx); err != nil {
-		return err
-	}
 	fmt.Fprintf(stdout, "%d workers and %d schedulers are up. A request by hand, from the same load (Ctrl-C ends all):\n\n", len(l.Shop.Workers()), l.Shop.Schedulers)
 	c := l.Shop.Classes[0]
 	fmt.Fprintf(stdout, "  curl -i -X POST -H 'X-Txn: 00000000-9' -H 'X-Org: %s' -d '{}' http://%s/%s\n\n", l.Shop.Tenants[0].Name, t.Shop.Nodes()[0].Listen, c.Name)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -120,14 +120,11 @@
 		}
 		return w.Run(), nil
 	}
-	t, err := StartTier(spec, r.Seed, v, o)
+	t, err := StartReady(ctx, spec, r.Seed, v, o)
 	if err != nil {
 		return nil, err
 	}
 	defer t.Kill()
-	if err := t.Ready(ctx); err != nil {
-		return nil, err
-	}
 	res := t.Shop.Play(ctx, r.Seed, nil)
 	if ctx.Err() != nil {
 		return nil, context.Cause(ctx)
@@ -152,6 +149,24 @@
 	log  *os.File
 }
 
+// StartReady starts a tier and waits until it is ready. A scheduler's port is free when it is
+// chosen, but nobody can hold it for another process: where it was taken, all is tried anew.
+func StartReady(ctx context.Context, spec *emulator.Spec, seed uint64, v *Variant, o Options) (*Tier, error) {
+	for try := 1; ; try++ {
+		t, err := StartTier(spec, seed, v, o)
+		if err != nil {
+			return nil, err
+		}
+		if err = t.Ready(ctx); err == nil {
+			return t, nil
+		}
+		t.Kill()
+		if try == 3 || ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
 // StartTier opens a shop and starts its schedulers.
 func StartTier(spec *emulator.Spec, seed uint64, v *Variant, o Options) (t *Tier, err error) {
 	t = &Tier{}
