--- a/internal/room/planner.go
+++ b/internal/room/planner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 )
@@ -91,9 +92,7 @@
 	slots  float64
 	from   float64 // when it is needed
 	since  float64
-	heard  float64
 	spare  float64
-	most   float64
 	last   []float64
 	told   bool // to the host, in this form
 	at     int  // among the own ones
@@ -346,14 +345,8 @@
 			},
 			place: func(t *target, at int) { t.pos[i] = at }}
 	}
-	// In the order of their coming, not of the map: the same events must give the same actions.
-	all := make([]*target, 0, len(p.targets))
-	for _, t := range p.targets {
-		all = append(all, t)
-	}
-	slices.SortFunc(all, func(a, b *target) int { return cmp.Compare(a.number, b.number) })
 	p.dirty = p.dirty[:0]
-	for _, t := range all {
+	for _, t := range p.inOrder() {
 		for i := range p.sizes {
 			t.ready[i] = math.Inf(1)
 			p.ready[i].put(t)
@@ -522,7 +515,8 @@
 
 // serves says whether f may wait for room at t at all.
 func (p *Planner) serves(now float64, t *target, f *flow) bool {
-	return t.hold == nil && (f.sort == "" || f.sort == t.sort) && t.runsClass(p.c.Classes[f.class]) && p.remembers(now, t, f)
+	return t.hold == nil && (f.sort == "" || f.sort == t.sort) && t.runsClass(p.c.Classes[f.class]) &&
+		!p.short(f, t, p.readyAt(now, t, f.need))
 }
 
 func (t *target) runsClass(class string) bool {
@@ -537,21 +531,6 @@
 	return false
 }
 
-// remembers says whether t has memory for f by the time that the slots are free: what is
-// reported free now, and what those give back that end till then.
-func (p *Planner) remembers(now float64, t *target, f *flow) bool {
-	if f.mem <= 0 || t.memory < 0 {
-		return true
-	}
-	need, at, free := f.mem-shortMemory, p.readyAt(now, t, f.need), t.memory
-	for _, e := range p.ends {
-		if e.at <= at {
-			free += e.mem
-		}
-	}
-	return free >= need
-}
-
 // readyAt is when so many slots are expected to be free at t, infinite for a target that
 // takes nothing or is held. It leaves the expected ends in p.ends, the earliest first.
 func (p *Planner) readyAt(now float64, t *target, slots float64) float64 {
@@ -562,13 +541,12 @@
 	if p.c.Mode == Emptying { // the emptiest first, whatever it runs
 		return now + max(0, t.busy+slots-t.slots)*0.001
 	}
-	at, _ := p.freeAt(now, t, slots, now)
-	return max(at, t.usable)
+	return max(p.freeAt(now, t, slots, now), t.usable)
 }
 
-// freeAt reckons when so many slots are free at t, and how many are then. Others' work was
-// there at least since the given time, as far as known.
-func (p *Planner) freeAt(now float64, t *target, slots, since float64) (at, then float64) {
+// freeAt reckons when so many slots are free at t. Others' work was there at least since the
+// given time, as far as known.
+func (p *Planner) freeAt(now float64, t *target, slots, since float64) float64 {
 	p.ends = p.ends[:0]
 	free, own, mem := t.slots-t.busy, 0.0, 0.0
 	for i, f := range t.runs {
@@ -594,15 +572,15 @@
 		}
 	}
 	if free >= slots-slack {
-		return now, free
+		return now
 	}
 	slices.SortFunc(p.ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
 	for _, e := range p.ends {
 		if free += e.slots; free >= slots-slack {
-			return e.at, free
+			return e.at
 		}
 	}
-	return math.Inf(1), free
+	return math.Inf(1)
 }
 
 // endOf is when the attempt of f at t ends, at a quantile of what is learned.
@@ -633,7 +611,7 @@
 			why = Slipped
 		}
 		if why == reasons && p.c.Mode != Emptying {
-			at, _ := p.freeAt(now, t, h.slots, h.since)
+			at := p.freeAt(now, t, h.slots, h.since)
 			if max(at, t.usable) > f.latest {
 				why = Slipped
 			}
@@ -650,7 +628,8 @@
 	p.tell(now, h)
 }
 
-// short says whether memory will be missing at t for f at the given time; p.ends is t's.
+// short says whether memory will be missing at t for f at the given time: what is reported
+// free now, and what those give back that end till then. p.ends must be t's.
 func (p *Planner) short(f *flow, t *target, at float64) bool {
 	if f.mem <= 0 || t.memory < 0 {
 		return false
@@ -694,7 +673,7 @@
 	if same {
 		return
 	}
-	h.told, h.spare, h.most = true, spare, most
+	h.told, h.spare = true, spare
 	a := Action{Kind: Hold, Target: t.id, Spare: spare, Most: most, Last: h.last}
 	if h.flow != nil {
 		a.Flow = h.flow.id
@@ -961,13 +940,13 @@
 		}
 		if i := slices.IndexFunc(t.others, func(h *hold) bool { return h.who == ev.Who }); i >= 0 {
 			h := t.others[i]
-			h.from, h.heard = x.From, now
+			h.from = x.From
 			if t.hold == h {
 				p.review(now, h)
 			}
 			continue
 		}
-		h := &hold{target: t, who: ev.Who, slots: x.Slots, from: x.From, since: now, heard: now, last: make([]float64, len(p.c.Classes))}
+		h := &hold{target: t, who: ev.Who, slots: x.Slots, from: x.From, since: now, last: make([]float64, len(p.c.Classes))}
 		t.others = append(t.others, h)
 		p.foreign[ev.Who] = append(p.foreign[ev.Who], h)
 		p.held += h.slots
@@ -1006,19 +985,19 @@
 	}
 }
 
+// inOrder lists the targets in the order of their coming, not of the map: the same events
+// must give the same actions.
+func (p *Planner) inOrder() []*target {
+	return slices.SortedFunc(maps.Values(p.targets), func(a, b *target) int { return cmp.Compare(a.number, b.number) })
+}
+
 // Targets names the targets that are up, in the order of their coming.
-func (p *Planner) Targets() []string {
-	var up []*target
-	for _, t := range p.targets {
+func (p *Planner) Targets() (ids []string) {
+	for _, t := range p.inOrder() {
 		if t.up {
-			up = append(up, t)
+			ids = append(ids, t.id)
 		}
 	}
-	slices.SortFunc(up, func(a, b *target) int { return cmp.Compare(a.number, b.number) })
-	ids := make([]string, len(up))
-	for i, t := range up {
-		ids[i] = t.id
-	}
 	return ids
 }
 
