--- a/balance/balance.go
+++ b/balance/balance.go
@@ -857,15 +857,19 @@
 			a.missed = true
 			b.blind = min(blindMost, b.blind+blindStep)
 		}
-		patience = seconds(b.runMean / 2)
-		b.move(now, r, i)
+		// The more is out there, the sooner some word is due. A dispatcher with one job there that took the
+		// wait behind others' jobs for silence would eject workers that are well.
+		patience = seconds(4 * b.runMean * b.slow(w) / float64(max(1, w.outs)))
 	} else if b.s.ProgressEvery > 0 {
 		patience = b.s.ProgressEvery * 5 / 2
 	}
-	since := max(r.attempts[i].heardAt, r.attempts[i].sentAt+2*r.attempts[i].wait)
+	since := max(a.heardAt, a.sentAt+2*a.wait)
 	if now >= since+patience && w.heardAt <= since {
 		b.eject(now, w, false) // it takes work and answers nothing
 	}
+	if b.s.TellsStart && a.startAt == 0 {
+		b.move(now, r, i) // last, as a copy that it sends moves the attempts
+	}
 	return r.attempts[i].lookAt
 }
 
@@ -875,10 +879,12 @@
 }
 
 // move gives a request that waits in a queue another chance where there is room: by a second copy, or by
-// withdrawing the first.
+// withdrawing the first from a worker judged unfit. From one that works that may stop nothing: the job runs
+// for nobody, and the queue that was the reason grows by it.
 func (b *Balancer) move(now time.Duration, r *request, i int) {
-	if len(r.attempts) >= b.s.MaxAttempts || r.class.Effect == Unsafe || r.attempts[i].cancelled ||
-		b.retries < retryBurst/2 && (b.s.Duplicates || b.retries < 0) || !b.mayRetry(now) {
+	a, copies := &r.attempts[i], b.s.Duplicates
+	if len(r.attempts) >= b.s.MaxAttempts || r.class.Effect == Unsafe || a.cancelled || !b.mayRetry(now) ||
+		b.retries < 0 || copies && b.retries < retryBurst/2 || !copies && now >= a.to.ejectedTo {
 		return
 	}
 	w := b.draw(now, r)
