--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,7 +41,7 @@
 	retryShare  = 0.2   // retries after failures for each request
 	retryBurst  = 10.0
 	unsafeSpare = 0.3 // of a slot that an unsafe job may exceed what is taken for free
-	coldSafety  = 0.4 // share used, in each turn, of what a cold worker may be sent
+	coldSafety  = 0.4 // share used of what a cold worker may be sent
 	tickTimer   = uint64(1) << 60
 	askTimer    = tickTimer + 1
 )
@@ -117,11 +117,11 @@
 	slots                    float64   // slots it has, as reports show; 0 unknown
 	rep                      Report
 	repAt, heardAt, probedAt time.Duration
-	endedAt, turn            time.Duration // when an attempt last ended; start of the turn of the tokens
+	endedAt, turn            time.Duration // when an attempt last ended; when tokens were last reckoned
 	ran, expected            float64       // seconds: running seen, and expected of an average worker
 	ejectedTo, fullTo        time.Duration
-	tokens                   float64         // seconds of work that may be sent in the turn while cold
-	offset                   uint32          // hash of the id; the count of turns begins there
+	tokens                   float64         // seconds of work that may be sent while cold
+	offset                   uint32          // hash of the id
 	tells                    map[int]float64 // the latter by dispatcher
 	keep                     *Keep           // room held there, if any
 }
@@ -133,7 +133,6 @@
 	classes                      map[string]*class
 	workers                      map[string]*worker
 	ring, cold                   []*worker
-	born, coldNext               time.Duration // of the first event; of the next turn at a cold worker
 	reqs                         map[uint64]*request
 	held                         []*request
 	gen, askFails                int
@@ -173,7 +172,6 @@
 // Step takes one event at the given time and appends the actions that answer it.
 func (b *Balancer) Step(now time.Duration, ev *Event, acts []Action) []Action {
 	b.acts = acts
-	b.born = cmp.Or(b.born, now)
 	switch ev.Kind {
 	case Arrived:
 		b.arrived(now, ev)
@@ -282,7 +280,7 @@
 		return
 	}
 	if b.warmth(now, w) < 1 && !slices.Contains(b.cold, w) {
-		b.cold, b.coldNext = append(b.cold, w), 0
+		b.cold = append(b.cold, w)
 	}
 	if !w.listed {
 		w.listed = true
@@ -643,6 +641,7 @@
 	for _, w := range b.ring {
 		if slots := loads[w.ID]; w.tells[who] != slots {
 			w.told += slots - w.tells[who]
+			w.tokens -= max(0, slots-w.tells[who]) * b.runMean
 			w.tells[who] = slots
 			w.mark(now)
 		}
@@ -720,43 +719,33 @@
 	return b.slow(w)/b.warmth(now, w)*(1+b.load(now, w)/max(b.slots(now, w), 0.1)) + priceWeight*price
 }
 
-// turnStart is when this dispatcher's present or next turn at the cold worker w begins. An equal share of the
-// budget seldom holds a job, and new workers would idle; so dispatchers take turns of a window, counted from
-// the start of w. No more than two turns, each of under half the budget, touch any window.
-func (b *Balancer) turnStart(now time.Duration, w *worker) time.Duration {
-	window := max(b.s.FallWindow, time.Millisecond)
-	n := int(max(0, now-w.Started) / window)
-	n += (b.s.Self + b.s.Fleet - (n+int(w.offset>>1))%b.s.Fleet) % b.s.Fleet
-	return w.Started + time.Duration(n)*window
-}
-
-// coldRoom keeps the budget of a turn. One that began before this dispatcher may be spent by its former life.
+// coldRoom keeps what a cold worker may be sent, in seconds of work: by this dispatcher and by those whose
+// words it hears; who is silent is dead. So one allowance is all dispatchers', however many they are, and none
+// of it lies idle with one that has no use for it. Those that may not speak have a share each, and first use
+// it at different times. It begins empty: what a former life of this dispatcher sent has run by then.
 func (b *Balancer) coldRoom(now time.Duration, r *request, w *worker) bool {
 	if b.warmth(now, w) >= 1 {
 		return true
 	}
-	start := b.turnStart(now, w)
-	if now < start || start < b.born {
-		return false
+	rate := coldSafety * b.s.FallMultiple * b.slots(now, w) / max(1, b.slow(w))
+	if !b.s.Peers {
+		rate /= float64(max(1, b.s.Fleet))
 	}
-	if w.turn != start {
-		w.turn = start
-		rate := coldSafety * b.s.FallMultiple * b.slots(now, w) / max(1, b.slow(w))
-		w.tokens = rate * b.s.FallWindow.Seconds()
+	if w.turn == 0 {
+		w.turn, w.tokens = now, -b.rng.Float64()*b.runMean
 	}
-	return w.tokens >= r.work*r.slots
+	burst := rate * b.s.FallWindow.Seconds() / 4
+	w.tokens = min(burst, w.tokens+rate*(now-w.turn).Seconds())
+	w.turn = now
+	return w.tokens >= min(burst, r.work*r.slots)
 }
 
-// addCold adds a cold worker whose turn it is to the candidates: too short a time to wait for a home nearby.
+// addCold adds a cold worker that may be sent more to the candidates, or it would wait for a home nearby.
 func (b *Balancer) addCold(now time.Duration, r *request) {
-	if now < b.coldNext {
-		return
-	}
-	b.coldNext = math.MaxInt64
 	b.cold = slices.DeleteFunc(b.cold, func(w *worker) bool { return !w.listed || b.warmth(now, w) >= 1 })
-	for _, w := range b.cold {
-		b.coldNext = min(b.coldNext, b.turnStart(now, w))
-		if b.coldNext <= now && b.coldRoom(now, r, w) && b.fits(now, r, w, 0) && !slices.Contains(b.cand, w) {
+	for i := range b.cold {
+		w := b.cold[(i+int(r.home*float64(len(b.cold))))%len(b.cold)]
+		if b.coldRoom(now, r, w) && b.fits(now, r, w, 0) && !slices.Contains(b.cand, w) {
 			b.cand = append(b.cand, w)
 			return
 		}
