--- a/balance/api.go
+++ b/balance/api.go
@@ -244,7 +244,7 @@
 	Probe                       // probe Worker
 	Subscribe                   // ask for the list and its changes
 	Say                         // a line for the log: Text
-	Tell                        // a message to every other dispatcher: Raw, at most 256 bytes
+	Tell                        // a message to other dispatchers: Raw, at most 256 bytes, and To
 )
 
 // Action is one thing the host must do, in order. Which fields count depends on Kind.
@@ -257,4 +257,5 @@
 	Timer   uint64
 	Text    string
 	Raw     string
+	To      []int // numbers of dispatchers; nil: every other
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -120,10 +120,9 @@
 	endedAt, turn            time.Duration // when an attempt last ended; when tokens were last reckoned
 	ran, expected            float64       // seconds: running seen, and expected of an average worker
 	ejectedTo, fullTo        time.Duration
-	tokens                   float64         // seconds of work that may be sent while cold
-	offset                   uint32          // hash of the id
-	tells                    map[int]float64 // the latter by dispatcher
-	keep                     *Keep           // room held there, if any
+	tokens                   float64 // seconds of work that may be sent while cold
+	offset                   uint32  // hash of the id
+	keep                     *Keep   // room held there, if any
 }
 
 // Balancer decides for one dispatcher.
@@ -132,8 +131,9 @@
 	rng                          *rand.Rand
 	classes                      map[string]*class
 	workers                      map[string]*worker
-	ring, cold                   []*worker
+	ring                         []*worker
 	reqs                         map[uint64]*request
+	tells                        map[int]map[string]float64 // slots that each dispatcher has out, by worker
 	held                         []*request
 	gen, askFails                int
 	asking, ticking              bool
@@ -160,7 +160,8 @@
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), classes: map[string]*class{},
 		workers: map[string]*worker{}, reqs: map[uint64]*request{},
-		retries: retryBurst, slotMean: 1, slotsMean: 2, runMean: 2 * s.Classes[0].Aim.Seconds(),
+		tells: map[int]map[string]float64{}, retries: retryBurst, slotMean: 1, slotsMean: 2,
+		runMean:    2 * s.Classes[0].Aim.Seconds(),
 		startDelay: map[string]time.Duration{}, lines: map[string]*line{}, blind: blindShare, gap: 0.1}
 	for _, c := range s.Classes {
 		b.classes[c.Name] = &class{Class: c, met: 1, runs: 0.1, work: 0.2 * c.Aim.Seconds(), // a first guess
@@ -265,23 +266,21 @@
 func (b *Balancer) member(now time.Duration, m *Member) {
 	w := b.workers[m.ID]
 	if w == nil {
-		w = &worker{Member: *m, heardAt: now, offset: hash(m.ID), tells: map[int]float64{}}
+		w = &worker{Member: *m, heardAt: now, offset: hash(m.ID)}
 		if m.State == Ready {
 			b.workers[m.ID] = w
 		}
 	}
 	if m.Started != w.Started { // restarted: nothing known of the old process holds
 		*w = worker{Member: *m, listed: w.listed, own: w.own, outs: w.outs, marks: w.marks, slots: w.slots,
-			heardAt: now, offset: w.offset, tells: map[int]float64{}}
+			heardAt: now, offset: w.offset}
+		b.unsay(m.ID)
 	}
 	w.Member, w.gen = *m, b.gen
 	if m.State != Ready {
 		b.unlist(w)
 		return
 	}
-	if b.warmth(now, w) < 1 && !slices.Contains(b.cold, w) {
-		b.cold = append(b.cold, w)
-	}
 	if !w.listed {
 		w.listed = true
 		i, _ := slices.BinarySearchFunc(b.ring, w, func(x, y *worker) int { return cmp.Compare(x.ID, y.ID) })
@@ -299,6 +298,14 @@
 func (b *Balancer) drop(w *worker) {
 	if !w.listed && w.outs == 0 {
 		delete(b.workers, w.ID)
+		b.unsay(w.ID)
+	}
+}
+
+// unsay forgets what was told of a worker's former process.
+func (b *Balancer) unsay(id string) {
+	for _, had := range b.tells {
+		delete(had, id)
 	}
 }
 
@@ -375,10 +382,14 @@
 // newHome draws a home about this dispatcher's own place on the ring, among twice as many workers as it has
 // jobs running: a small dispatcher would else never meet a worker that it knows, or has a connection to.
 func (b *Balancer) newHome() float64 {
+	place, spread := b.placeOf(b.s.Self)
+	return math.Mod(1+place+spread*(b.rng.Float64()-0.5), 1)
+}
+
+// placeOf is a dispatcher's place on the ring, and the share of the ring in which this one has its homes.
+func (b *Balancer) placeOf(who int) (place, spread float64) {
 	own := max(1, 2*b.runMean/max(b.gap, 1e-6))
-	place := (float64(b.s.Self) + 0.5) / float64(b.s.Fleet)
-	x := place + min(1, own/float64(max(1, len(b.ring))))*(b.rng.Float64()-0.5)
-	return math.Mod(1+x, 1)
+	return (float64(who) + 0.5) / float64(b.s.Fleet), min(1, own/float64(max(1, len(b.ring))))
 }
 
 func (b *Balancer) hold(now time.Duration, r *request) {
@@ -575,7 +586,6 @@
 	for pass := 0; pass < 3 && len(b.cand) == 0; pass++ {
 		b.gather(now, r, pass)
 	}
-	b.addCold(now, r)
 	if w := r.kept; w != nil && w.listed && w.owns(r) && b.fits(now, r, w, 0) && !slices.Contains(b.cand, w) {
 		b.cand = append(b.cand, w)
 	}
@@ -636,16 +646,34 @@
 	return b.s.ColdFrom + (1-b.s.ColdFrom)*max(0, age.Seconds())/b.s.ColdFor.Seconds()
 }
 
-// note keeps what a dispatcher has out at each worker by its word: nothing, where it names none.
+// note keeps what a dispatcher has out at each worker by its word: nothing, where it names none. The cost
+// grows with what was named, not with the workers: with many dispatchers these are most of all events.
 func (b *Balancer) note(now time.Duration, who int, loads map[string]float64) {
-	for _, w := range b.ring {
-		if slots := loads[w.ID]; w.tells[who] != slots {
-			w.told += slots - w.tells[who]
-			w.tokens -= max(0, slots-w.tells[who]) * b.runMean
-			w.tells[who] = slots
-			w.mark(now)
+	had := b.tells[who]
+	if had == nil {
+		had = map[string]float64{}
+		b.tells[who] = had
+	}
+	for id := range had {
+		if loads[id] == 0 {
+			b.noteAt(now, had, id, 0)
 		}
 	}
+	for id, slots := range loads {
+		b.noteAt(now, had, id, slots)
+	}
+}
+
+func (b *Balancer) noteAt(now time.Duration, had map[string]float64, id string, slots float64) {
+	if w := b.workers[id]; w != nil && had[id] != slots {
+		w.told += slots - had[id]
+		w.tokens -= max(0, slots-had[id]) * b.runMean
+		w.mark(now)
+		had[id] = slots
+	}
+	if slots == 0 {
+		delete(had, id)
+	}
 }
 
 // keep notes that room is held at a worker, for whom and what may go there; or that it is let go.
@@ -720,8 +748,8 @@
 }
 
 // coldRoom keeps what a cold worker may be sent, in seconds of work: by this dispatcher and by those whose
-// words it hears; who is silent is dead. So one allowance is all dispatchers', however many they are, and none
-// of it lies idle with one that has no use for it. Those that may not speak have a share each, and first use
+// words it hears; who is silent is dead. So one allowance is all dispatchers', however many there are, and
+// none of it lies idle with one that has no use for it. Those that may not speak have a share each, and first use
 // it at different times. It begins empty: what a former life of this dispatcher sent has run by then.
 func (b *Balancer) coldRoom(now time.Duration, r *request, w *worker) bool {
 	if b.warmth(now, w) >= 1 {
@@ -740,18 +768,6 @@
 	return w.tokens >= min(burst, r.work*r.slots)
 }
 
-// addCold adds a cold worker that may be sent more to the candidates, or it would wait for a home nearby.
-func (b *Balancer) addCold(now time.Duration, r *request) {
-	b.cold = slices.DeleteFunc(b.cold, func(w *worker) bool { return !w.listed || b.warmth(now, w) >= 1 })
-	for i := range b.cold {
-		w := b.cold[(i+int(r.home*float64(len(b.cold))))%len(b.cold)]
-		if b.coldRoom(now, r, w) && b.fits(now, r, w, 0) && !slices.Contains(b.cand, w) {
-			b.cand = append(b.cand, w)
-			return
-		}
-	}
-}
-
 func (b *Balancer) send(now time.Duration, r *request, w *worker) {
 	wait := b.wait(now, w, r.slots)
 	b.own(now, w, r, 1)
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -578,7 +579,7 @@
 		}
 		return all
 	}
-	if first, second := play(), play(); !slices.Equal(first, second) {
+	if first, second := play(), play(); !slices.EqualFunc(first, second, func(x, y Action) bool { return reflect.DeepEqual(x, y) }) {
 		t.Fatal("two runs of the same events differ")
 	}
 }
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -104,7 +104,7 @@
 		Sockets: httpio.NewBudget(places * 2 / 5),
 		DialFor: clock.Millis(cfg.Settings.DialTimeout), IdleFor: clock.Millis(cfg.Settings.ConnIdle)})
 	s.watch = discovery.New(discovery.Config{Address: cfg.Discovery, Clock: clk, Log: log, Stack: stack,
-		From: cfg.Known.Index, Tell: func(g core.Group) { back.List("discovery", g) }})
+		Held: len(cfg.Known.Endpoints) > 0, From: cfg.Known.Index, Tell: func(g core.Group) { back.List("discovery", g) }})
 	known, err := cfg.Known.TargetGroup()
 	if err != nil {
 		log.Warn("entry of the known list passed over", "cause", err)
@@ -117,7 +117,7 @@
 		s.gearman = gearman.New(*op.Gearman, fmt.Sprintf("%s-%x", cfg.Name, uint64(clk.Now())), back, clk, log, stack.Buffers)
 		sources = append(sources, core.Source{Name: gearman.Source, Transport: s.gearman})
 	}
-	var tell func(string)
+	var tell func([]int, string)
 	if cfg.Settings.Peers {
 		if s.peers, err = peers.Open(peers.Config{Listen: cfg.PeerListen, Peers: cfg.Peers, All: cfg.PeersAll}, log); err != nil {
 			return nil, err
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,8 +23,9 @@
 	ComeBack float64
 	// MaxOpen is how many flows may be open at once.
 	MaxOpen int
-	// Tell sends a message to the other schedulers; nil where there is no way to them.
-	Tell func(raw string)
+	// Tell sends a message to other schedulers, by their numbers (nil: all of them); nil where there is
+	// no way to them.
+	Tell func(to []int, raw string)
 	// Room sets the planner of held room up; nil while that is off.
 	Room *room.Config
 	// Known is the list as it was held last, by source; the module learns it first.
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -71,7 +71,7 @@
 		}
 	case balance.Tell:
 		if c.cfg.Tell != nil {
-			c.cfg.Tell(a.Raw)
+			c.cfg.Tell(a.To, a.Raw)
 		}
 	case balance.Say:
 		c.log.Info("module says", "text", a.Text)
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -5,6 +5,7 @@
 package decide
 
 import (
+	"slices"
 	"time"
 
 	"cottonwell/balance"
@@ -13,8 +14,9 @@
 )
 
 const (
-	tellEvery = 40 * time.Millisecond // schedulers tell one another what they have out,
-	toldFor   = 10 * tellEvery        // and some of it may be lost
+	tellEvery  = 20 * time.Millisecond   // schedulers tell one another what they have out,
+	wholeEvery = 600 * time.Millisecond  // all of it is said to everybody now and then,
+	toldFor    = 1400 * time.Millisecond // and some of it may be lost
 )
 
 // Timers of this package; the module's own are below.
@@ -25,17 +27,19 @@
 
 // Decider decides for one scheduler.
 type Decider struct {
-	s      balance.Settings
-	module *balance.Balancer
-	names  map[tell.Name][]string // listed targets by what datagrams call them
-	toldAt []time.Duration        // when each other scheduler last spoke; 0: silent
-	loads  map[string]float64     // what the one heard last has out
-	said   string                 // the last datagram
-	saidAt time.Duration
-	in     tell.Message
-	out    tell.Message
-	raw    []byte
-	ev     balance.Event // the module's event in hand, or one made here
+	s       balance.Settings
+	module  *balance.Balancer
+	names   map[tell.Name][]string // listed targets by what datagrams call them
+	toldAt  []time.Duration        // when each other scheduler last spoke; 0: silent
+	heard   []map[string]float64   // what each of them has out
+	said    map[tell.Name]float64  // what this one has told of its own
+	wholeAt time.Duration          // when it last told all
+	part    []tell.Load            // changes since
+	in      tell.Message
+	out     tell.Message
+	raw     []byte
+	held    bool          // the last whole datagram told of held room
+	ev      balance.Event // the module's event in hand, or one made here
 
 	Strange int // datagrams that could not be read
 
@@ -51,7 +55,7 @@
 		return nil, err
 	}
 	d := &Decider{s: s, module: module, names: map[tell.Name][]string{}, toldAt: make([]time.Duration, s.Fleet),
-		loads: map[string]float64{}}
+		heard: make([]map[string]float64, s.Fleet), said: map[tell.Name]float64{}}
 	if err := d.startRoom(plan); err != nil {
 		return nil, err
 	}
@@ -106,9 +110,9 @@
 	}
 }
 
-// tell says to the other schedulers what this one has out and holds; if nothing changed, each
-// third time. A datagram is whole by itself, so that none has to arrive. Whoever was silent
-// for too long has nothing out and holds nothing: only reports tell of its work.
+// tell says to the other schedulers what this one has out and holds: what changed, and now and
+// then all of it, so that no datagram has to arrive. Whoever was silent for too long has nothing
+// out and holds nothing: only reports tell of its work.
 func (d *Decider) tell(now time.Duration, acts []balance.Action) []balance.Action {
 	if !d.s.Peers || d.s.Fleet < 2 {
 		return acts
@@ -116,23 +120,64 @@
 	for who, at := range d.toldAt {
 		if at > 0 && now-at > toldFor {
 			d.toldAt[who] = 0
-			clear(d.loads)
+			clear(d.heard[who])
 			acts = d.told(now, who, nil, acts)
 		}
 	}
-	d.out.Loads = d.out.Loads[:0]
+	d.out.Loads, d.part = d.out.Loads[:0], d.part[:0]
 	d.module.Out(func(id string, slots float64) {
-		d.out.Loads = append(d.out.Loads, tell.Load{Target: tell.NameOf(id), Slots: slots})
+		n := tell.NameOf(id)
+		d.out.Loads = append(d.out.Loads, tell.Load{Target: n, Slots: slots})
+		if d.said[n] != slots {
+			d.part = append(d.part, tell.Load{Target: n, Slots: slots})
+		}
 	})
 	d.holds(now)
-	d.raw = tell.Append(d.raw[:0], &d.out)
-	if string(d.raw) != d.said || now-d.saidAt >= 3*tellEvery {
-		d.said, d.saidAt = string(d.raw), now
-		acts = append(acts, balance.Action{Kind: balance.Tell, Raw: d.said})
+	for n := range d.said {
+		if !slices.ContainsFunc(d.out.Loads, func(l tell.Load) bool { return l.Target == n }) {
+			d.part = append(d.part, tell.Load{Target: n})
+		}
+	}
+	whole := now-d.wholeAt >= wholeEvery || len(d.out.Holds) > 0 || d.held
+	if whole || len(d.part) > 0 {
+		if whole {
+			d.wholeAt, d.held = now, len(d.out.Holds) > 0
+			d.raw = tell.Append(d.raw[:0], &d.out)
+		} else {
+			d.raw = tell.AppendPart(d.raw[:0], d.part)
+		}
+		clear(d.said)
+		for _, l := range d.out.Loads {
+			d.said[l.Target] = l.Slots
+		}
+		if to := d.audience(whole); to == nil || len(to) > 0 {
+			acts = append(acts, balance.Action{Kind: balance.Tell, Raw: string(d.raw), To: to})
+		}
 	}
 	return append(acts, balance.Action{Kind: balance.Wake, Timer: tellTimer, After: tellEvery})
 }
 
+// audience is whom a datagram is for: changes are for those that may have jobs for the targets in
+// question, by their place on the ring or because they have some there. So what is spent on telling
+// grows with the schedulers that share a target, not with all of them. nil stands for all.
+func (d *Decider) audience(whole bool) []int {
+	if whole {
+		return nil
+	}
+	to := []int{}
+	for who := range d.s.Fleet {
+		if who != d.s.Self && slices.ContainsFunc(d.part, func(l tell.Load) bool {
+			return slices.ContainsFunc(d.names[l.Target], func(id string) bool { return d.heard[who][id] > 0 || d.module.Near(who, id) })
+		}) {
+			to = append(to, who)
+		}
+	}
+	if len(to) == d.s.Fleet-1 {
+		return nil
+	}
+	return to
+}
+
 // hear takes in what another scheduler says. What cannot be read is counted and passed over.
 func (d *Decider) hear(now time.Duration, ev *balance.Event, acts []balance.Action) []balance.Action {
 	if ev.Who < 0 || ev.Who >= d.s.Fleet || ev.Who == d.s.Self || tell.Parse(ev.Raw, &d.in) != nil {
@@ -140,10 +185,18 @@
 		return acts
 	}
 	d.toldAt[ev.Who] = now
-	clear(d.loads)
+	if d.heard[ev.Who] == nil {
+		d.heard[ev.Who] = map[string]float64{}
+	}
+	has := d.heard[ev.Who]
+	if !d.in.Part {
+		clear(has)
+	}
 	for _, l := range d.in.Loads {
 		for _, id := range d.names[l.Target] {
-			d.loads[id] = l.Slots
+			if has[id] = l.Slots; l.Slots == 0 {
+				delete(has, id)
+			}
 		}
 	}
 	return d.told(now, ev.Who, d.in.Holds, acts)
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,13 +102,13 @@
 	word := find(one.elapse(tellEvery), balance.Tell)
 	require.NotNil(t, word, "a change is told at once")
 	require.Nil(t, find(one.elapse(tellEvery), balance.Tell), "and once")
-	require.NotNil(t, find(one.elapse(3*tellEvery), balance.Tell), "but now and then all is told anew, as words are lost")
+	require.NotNil(t, find(one.elapse(wholeEvery), balance.Tell), "but now and then all is told anew, as words are lost")
 
 	before := two.load(at)
 	two.step(balance.Event{Kind: balance.PeerSpoke, Who: 0, Raw: word.Raw})
 	require.InDelta(t, before+1, two.load(at), 0.01)
 	// What is no word, or of nobody, changes nothing and is counted.
-	for _, ev := range []balance.Event{{Who: -1, Raw: word.Raw}, {Who: 3, Raw: word.Raw}, {Who: 1, Raw: word.Raw}, {Who: 2, Raw: ""}, {Who: 2, Raw: "\x02"}, {Who: 2, Raw: "\x01ab"}} {
+	for _, ev := range []balance.Event{{Who: -1, Raw: word.Raw}, {Who: 3, Raw: word.Raw}, {Who: 1, Raw: word.Raw}, {Who: 2, Raw: ""}, {Who: 2, Raw: "\x03"}, {Who: 2, Raw: "\x01ab"}} {
 		ev.Kind = balance.PeerSpoke
 		two.step(ev)
 	}
@@ -120,6 +121,69 @@
 	require.InDelta(t, before, two.load(at), 0.01, "a silent scheduler's word still holds")
 }
 
+// Failure (vast days): what each of 80 schedulers had out was told to all others, 65 datagrams for
+// a request. A change concerns those that may have jobs for the target; all is told to all.
+func TestChangesGoToThoseThatShareTheTarget(t *testing.T) {
+	var ids []string
+	for i := range 60 {
+		ids = append(ids, fmt.Sprintf("s-%02d", i))
+	}
+	d, err := New(settings(40, 80), 1, nil)
+	require.NoError(t, err)
+	h := start(t, d, ids...)
+	tells := func(acts []balance.Action) (out []balance.Action) {
+		for _, a := range acts {
+			if a.Kind == balance.Tell {
+				out = append(out, a)
+			}
+		}
+		return out
+	}
+	whole := tells(h.acts)
+	require.Len(t, whole, 1, "the start is told")
+	require.Nil(t, whole[0].To, "to all")
+	// One that is far away has work at the target that gets the next job: it is told, too.
+	at := find(h.step(balance.Event{Kind: balance.Arrived, Request: 1, Class: "view", Budget: time.Second, Slots: 1}), balance.Send).Worker
+	h.step(balance.Event{Kind: balance.PeerSpoke, Who: 3, Raw: string(tell.AppendPart(nil, []tell.Load{{Target: tell.NameOf(at), Slots: 1}}))})
+	part := tells(h.elapse(tellEvery))
+	require.Len(t, part, 1)
+	require.Contains(t, part[0].To, 3)
+	require.Contains(t, part[0].To, 41)
+	require.NotContains(t, part[0].To, 40, "itself")
+	require.NotContains(t, part[0].To, 79)
+	require.InDelta(t, 20, len(part[0].To), 6)
+
+	// What a change says is added to what was said before, and a whole datagram mends what was lost.
+	other, err := New(settings(41, 80), 1, nil)
+	require.NoError(t, err)
+	o := start(t, other, ids...)
+	before := o.load(at)
+	o.step(balance.Event{Kind: balance.PeerSpoke, Who: 40, Raw: part[0].Raw})
+	require.InDelta(t, before+1, o.load(at), 0.01)
+	o.step(balance.Event{Kind: balance.PeerSpoke, Who: 40, Raw: string(tell.AppendPart(nil, []tell.Load{{Target: tell.NameOf("s-00"), Slots: 2}}))})
+	require.InDelta(t, before+1, o.load(at), 0.01, "a target that is not named has what it had")
+	o.step(balance.Event{Kind: balance.PeerSpoke, Who: 40, Raw: string(tell.AppendPart(nil, []tell.Load{{Target: tell.NameOf(at)}}))})
+	require.InDelta(t, before, o.load(at), 0.01, "none is none")
+	h.step(balance.Event{Kind: balance.Ended, Request: 1, Worker: at, Result: balance.OK, Final: true})
+	all := tells(h.elapse(wholeEvery))
+	last := all[len(all)-1]
+	require.Nil(t, last.To)
+	o.step(balance.Event{Kind: balance.PeerSpoke, Who: 40, Raw: last.Raw})
+	require.InDelta(t, before, o.load(at), 0.01)
+	require.Empty(t, other.heard[40])
+}
+
+// In a small fleet all targets are near to all, so that nothing is kept from anybody.
+func TestSmallFleetsTellAll(t *testing.T) {
+	d, err := New(settings(1, 6), 1, nil)
+	require.NoError(t, err)
+	h := start(t, d, "s-1", "s-2", "s-3", "s-4", "s-5", "s-6", "s-7", "s-8", "s-9")
+	h.step(balance.Event{Kind: balance.Arrived, Request: 1, Class: "view", Budget: time.Second, Slots: 1})
+	word := find(h.elapse(tellEvery), balance.Tell)
+	require.NotNil(t, word)
+	require.Nil(t, word.To)
+}
+
 func TestNamesFollowTheList(t *testing.T) {
 	d, err := New(settings(0, 2), 1, nil)
 	require.NoError(t, err)
--- a/internal/decide/room.go
+++ b/internal/decide/room.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
 
 	"cottonwell/balance"
@@ -227,10 +229,10 @@
 	})
 }
 
-// told hands the module and the planner what a scheduler has out, in d.loads, and holds.
+// told hands the module and the planner what a scheduler has out and holds.
 func (d *Decider) told(now time.Duration, who int, holds []tell.Hold, acts []balance.Action) []balance.Action {
 	from := len(acts)
-	d.ev = balance.Event{Kind: balance.PeerSpoke, Who: who, Loads: d.loads}
+	d.ev = balance.Event{Kind: balance.PeerSpoke, Who: who, Loads: d.heard[who]}
 	acts = d.module.Step(now, &d.ev, acts)
 	if d.room == nil {
 		return acts
@@ -239,13 +241,9 @@
 		d.measure(now, id, nil)
 	}
 	d.had[who] = d.had[who][:0]
-	for _, l := range d.in.Loads {
-		for _, id := range d.names[l.Target] {
-			if _, ok := d.loads[id]; ok {
-				d.had[who] = append(d.had[who], id)
-				d.measure(now, id, nil)
-			}
-		}
+	for _, id := range slices.Sorted(maps.Keys(d.heard[who])) {
+		d.had[who] = append(d.had[who], id)
+		d.measure(now, id, nil)
 	}
 	d.foreign = d.foreign[:0]
 	for _, h := range holds {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cottonwell/balance"
@@ -256,7 +257,7 @@
 			w.Result.Broken["datagram-too-long"]++
 		}
 		for _, to := range w.scheds {
-			if to != s && w.rng.Float64() >= float64(w.spec.DatagramLoss) {
+			if to != s && (a.To == nil || slices.Contains(a.To, to.n)) && w.rng.Float64() >= float64(w.spec.DatagramLoss) {
 				raw, from := a.Raw, s.n
 				w.after(float64(w.spec.DatagramDelay)*(0.5+w.rng.Float64()), func() {
 					w.step(to, balance.Event{Kind: balance.PeerSpoke, Who: from, Raw: raw})
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -45,7 +45,10 @@
 	Stack   *httpio.Stack
 	// Tell receives every list, and an AskFailed after each watch that failed or ended.
 	Tell func(core.Group)
-	// From is the version of the list held at the start, 0 for none.
+	// Held says that a list is held at the start, and From is its version, which may be 0. Only what
+	// changed since is asked for then: the whole list costs discovery work for each line, and after
+	// a release all schedulers ask at once.
+	Held bool
 	From uint64
 }
 
@@ -72,7 +75,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.moved {
-		w.moved, w.From = false, 0
+		w.moved, w.Held, w.From = false, false, 0
 	}
 	ctx, w.cancel = context.WithCancel(ctx)
 	return ctx, w.Address
@@ -135,7 +138,7 @@
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	c := w.Stack.Wrap(nc)
 	path := "/discovery/hosts?watch=1"
-	if w.From > 0 {
+	if w.Held {
 		path += "&from=" + strconv.FormatUint(w.From, 10)
 	}
 	buf := c.Buffer()
@@ -151,7 +154,7 @@
 	if resp.StatusCode != 200 {
 		return fmt.Errorf("answer: status %d", resp.StatusCode)
 	}
-	w.Log.Info("watch open", "discovery", address, "from", w.From)
+	w.Log.Info("watch open", "discovery", address, "held", w.Held, "from", w.From)
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, 1<<20)
 	for {
@@ -169,14 +172,14 @@
 		var l List
 		if err := json.Unmarshal(line, &l); err != nil {
 			// What this line changed is lost: only the whole list can mend that.
-			w.From = 0
+			w.Held, w.From = false, 0
 			return fmt.Errorf("a line that cannot be read: %w", err)
 		}
 		g, err := l.TargetGroup()
 		if err != nil {
 			w.Log.Warn("list entry passed over", "cause", err)
 		}
-		w.From = l.Index
+		w.Held, w.From = true, l.Index
 		w.Log.Info("list", "index", l.Index, "whole", l.Snapshot, "targets", len(l.Endpoints))
 		w.Tell(g)
 	}
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -18,7 +18,8 @@
 	"cottonwell/internal/net/httpio"
 )
 
-// A watch goes on from the last version it has read. After a line that cannot be read, what
+// Failure (vast days): a list that was held at version 0 was taken for none, so that after a release every
+// scheduler asked for the whole list, and most calls failed. A watch goes on from the last version it has read. After a line that cannot be read, what
 // it changed is unknown: only the whole list mends that.
 func TestWatchGoesOnWhereItWas(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -26,13 +27,13 @@
 	defer ln.Close()
 	groups := make(chan core.Group, 9)
 	w := New(Config{Address: ln.Addr().String(), Clock: clock.NewManual(1), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Stack: httpio.NewStack(), From: 41, Tell: func(g core.Group) { groups <- g }})
+		Stack: httpio.NewStack(), Held: true, From: 0, Tell: func(g core.Group) { groups <- g }})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { w.Run(ctx); close(done) }()
 	defer func() { cancel(); <-done }()
 	for _, round := range []struct{ from, status, text string }{
-		{"41", "200 OK", `{"index":43,"snapshot":false,"endpoints":[{"name":"a","status":"SERVING"},{"status":"SERVING"},{"name":"b","status":"ODD"}]}` + "\n\n"},
+		{"0", "200 OK", `{"index":43,"snapshot":false,"endpoints":[{"name":"a","status":"SERVING"},{"status":"SERVING"},{"name":"b","status":"ODD"}]}` + "\n\n"},
 		{"43", "503 Service Unavailable", ""},
 		{"43", "200 OK", "{not a list}\n"},
 		{"", "200 OK", `{"index":50,"snapshot":true,"endpoints":[]}` + "\n"},
@@ -46,7 +47,7 @@
 		require.Equal(t, "1", req.URL.Query().Get("watch"))
 		_, err = fmt.Fprintf(c, "HTTP/1.1 %s\r\nConnection: close\r\n\r\n%s", round.status, round.text)
 		require.NoError(t, err)
-		if round.from == "41" {
+		if round.from == "0" {
 			g := <-groups
 			require.Equal(t, balance.Changes, g.Scope)
 			require.Len(t, g.Targets, 2, "an entry without a name is passed over")
--- a/internal/net/peers/peers.go
+++ b/internal/net/peers/peers.go
@@ -28,6 +28,7 @@
 	log  *slog.Logger
 	all  netip.AddrPort
 	who  map[netip.AddrPort]int
+	each []netip.AddrPort // by number
 
 	Sent, Heard, Strange, Failed atomic.Int64
 }
@@ -48,6 +49,7 @@
 			return nil, fmt.Errorf("peers: %w", err)
 		}
 		l.who[a] = i
+		l.each = append(l.each, a)
 	}
 	at, err := netip.ParseAddrPort(cfg.Listen)
 	if err != nil {
@@ -62,14 +64,26 @@
 // Addr is the address that is bound.
 func (l *Link) Addr() net.Addr { return l.conn.LocalAddr() }
 
-// Tell sends raw to every other scheduler. What cannot be sent is lost, like any other; the
-// next message says all anew.
-func (l *Link) Tell(raw string) {
+// Tell sends raw to the schedulers of these numbers, or to every other one where to is nil. What
+// cannot be sent is lost, like any other; a later message says all anew.
+func (l *Link) Tell(to []int, raw string) {
 	if len(raw) > MaxSize {
 		l.Failed.Add(1)
 		return
 	}
-	if _, err := l.conn.WriteToUDPAddrPort([]byte(raw), l.all); err != nil {
+	if to == nil {
+		l.send(raw, l.all)
+		return
+	}
+	for _, n := range to {
+		if n >= 0 && n < len(l.each) {
+			l.send(raw, l.each[n])
+		}
+	}
+}
+
+func (l *Link) send(raw string, to netip.AddrPort) {
+	if _, err := l.conn.WriteToUDPAddrPort([]byte(raw), to); err != nil {
 		l.Failed.Add(1)
 		return
 	}
--- a/internal/net/peers/peers_test.go
+++ b/internal/net/peers/peers_test.go
@@ -40,8 +40,10 @@
 	require.NoError(t, err)
 	require.Equal(t, "1word", <-heard)
 
-	l.Tell(strings.Repeat("x", MaxSize+1))
-	l.Tell("mine")
+	l.Tell(nil, strings.Repeat("x", MaxSize+1))
+	l.Tell([]int{-1, 9}, "nobody's") // numbers that nobody has
+	l.Tell([]int{}, "nobody's")
+	l.Tell([]int{1}, "mine")
 	buf := make([]byte, 999)
 	require.NoError(t, peer.SetReadDeadline(time.Now().Add(10*time.Second)))
 	n, from, err := peer.ReadFrom(buf)
--- a/internal/tell/tell.go
+++ b/internal/tell/tell.go
@@ -2,7 +2,7 @@
 // what they have out and what room they hold. It is pure text work: who sends them, and when,
 // is decided elsewhere.
 //
-// A datagram is at most 256 bytes: the version, 1, and groups of three bytes. First come the
+// A datagram that tells all is at most 256 bytes: the version, 1, and groups of three bytes. First come the
 // loads, a group for each target: two bytes of the hash of its name, and slots. A group of
 // zeros ends them. Then come the holds, two groups for each:
 //
@@ -14,6 +14,10 @@
 // without load. Should that group happen to spell a target's name (one chance in 65,536 for
 // each target and hold), it sees that target without this scheduler's work until the next
 // datagram. Loads sent by such a scheduler never hold a group of zeros.
+//
+// Between two of these, a datagram of version 2 tells what changed: groups of three bytes, where
+// no slots mean that nothing is out there any more. A scheduler that does not know it counts it as
+// strange and believes what it was told last; one that lost it is put right by the next whole one.
 package tell
 
 import (
@@ -27,6 +31,7 @@
 
 const (
 	version  = 1
+	changes  = 2 // the version that tells changes alone
 	group    = 3
 	fromUnit = 8 // milliseconds
 	// MaxHolds is how many holds a datagram tells; further ones wait for the next.
@@ -59,6 +64,9 @@
 
 // Message is what a datagram says.
 type Message struct {
+	// Part says that Loads are changes alone, where a load of no slots is one that ended, and
+	// targets that are not named have what they had.
+	Part  bool
 	Loads []Load
 	Holds []Hold
 }
@@ -89,18 +97,33 @@
 	return raw
 }
 
+// AppendPart writes a message of changes. What does not fit is left out: the next whole message
+// mends that.
+func AppendPart(raw []byte, loads []Load) []byte {
+	raw = append(raw, changes)
+	for _, l := range loads[:min(len(loads), (MaxSize-1)/group)] {
+		n := byte(0)
+		if l.Slots > 0 {
+			n = count(l.Slots)
+		}
+		raw = append(raw, byte(l.Target), byte(l.Target>>8), n)
+	}
+	return raw
+}
+
 // count is a number of slots as a byte, 1 at least: 0 has a meaning of its own.
 func count(slots float64) byte { return byte(min(255, max(1, math.Ceil(slots)))) }
 
 // Parse reads a datagram into m, whose slices it uses again.
 func Parse(raw string, m *Message) error {
-	m.Loads, m.Holds = m.Loads[:0], m.Holds[:0]
-	if len(raw)%group != 1 || len(raw) > MaxSize || raw[0] != version {
+	m.Loads, m.Holds, m.Part = m.Loads[:0], m.Holds[:0], false
+	if len(raw)%group != 1 || len(raw) > MaxSize || raw[0] != version && raw[0] != changes {
 		return ErrForm
 	}
+	m.Part = raw[0] == changes
 	at := 1
 	for ; at < len(raw); at += group {
-		if raw[at+2] == 0 {
+		if raw[at+2] == 0 && !m.Part {
 			break
 		}
 		m.Loads = append(m.Loads, Load{name(raw[at:]), float64(raw[at+2])})
--- a/internal/tell/tell_test.go
+++ b/internal/tell/tell_test.go
@@ -38,6 +38,20 @@
 	require.Empty(t, m.Holds)
 }
 
+// Changes: no slots mean that nothing is out any more, which a whole datagram cannot say; an old
+// scheduler takes them for no datagram of its own, and believes on.
+func TestChanges(t *testing.T) {
+	a, b := NameOf("s-0001"), NameOf("s-0002")
+	raw := string(AppendPart(nil, []Load{{a, 2.5}, {b, 0}}))
+	_, ok := asOld(raw, a)
+	require.False(t, ok)
+	var m Message
+	require.NoError(t, Parse(raw, &m))
+	require.Equal(t, Message{Part: true, Loads: []Load{{a, 3}, {b, 0}}, Holds: m.Holds}, m)
+	require.Empty(t, m.Holds)
+	require.LessOrEqual(t, len(AppendPart(nil, make([]Load, 200))), MaxSize)
+}
+
 func TestFullDatagramsStayWithinTheLimit(t *testing.T) {
 	var m Message
 	for i := range 200 {
@@ -56,7 +70,7 @@
 	t.Logf("seed %d", seed)
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var m Message
-	for _, raw := range []string{"", "\x02", "\x01ab", "\x01ab\x00", "\x01\x00\x00\x00abcd", "\x01\x00\x00\x00ab\x00\x01\x01\x00", "\x01\x00\x00\x00ab\x02\x03\x01\x00"} {
+	for _, raw := range []string{"", "\x03", "\x02a", "\x02abcd", "\x01ab", "\x01ab\x00", "\x01\x00\x00\x00abcd", "\x01\x00\x00\x00ab\x00\x01\x01\x00", "\x01\x00\x00\x00ab\x02\x03\x01\x00"} {
 		require.ErrorIs(t, Parse(raw, &m), ErrForm, "%q", raw)
 		require.Empty(t, m.Holds)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -562,9 +562,21 @@
 		w.head("WATCH", instance)
 		w.num("enable", 1)
 	case balance.Tell:
-		w.head("WRITE_PEER", instance)
-		w.word("peer", "*")
-		w.word("raw", hex.EncodeToString([]byte(a.Raw)))
+		to := []string{"*"}
+		if a.To != nil {
+			to = to[:0]
+		}
+		for _, n := range a.To {
+			to = append(to, strconv.Itoa(n))
+		}
+		for i, peer := range to {
+			if i > 0 {
+				w.buf = append(w.buf, '\n')
+			}
+			w.head("WRITE_PEER", instance)
+			w.word("peer", peer)
+			w.word("raw", hex.EncodeToString([]byte(a.Raw)))
+		}
 	case balance.Say:
 		w.head("LOG", instance)
 		w.word("reason-text", oneLine(a.Text))
