--- a/balance/balance.go
+++ b/balance/balance.go
@@ -748,9 +748,9 @@
 }
 
 // coldRoom keeps what a cold worker may be sent, in seconds of work: by this dispatcher and by those whose
-// words it hears; who is silent is dead. So one allowance is all dispatchers', however many there are, and
-// none of it lies idle with one that has no use for it. Those that may not speak have a share each, and first use
-// it at different times. It begins empty: what a former life of this dispatcher sent has run by then.
+// words it hears; who is silent is dead. So one allowance is all dispatchers', however many, and none of it
+// lies idle with one that has no use for it. Those that may not speak have a share each. With others about, it
+// begins empty, as they or a former life of this one may have sent, and is first used at different times.
 func (b *Balancer) coldRoom(now time.Duration, r *request, w *worker) bool {
 	if b.warmth(now, w) >= 1 {
 		return true
@@ -759,10 +759,12 @@
 	if !b.s.Peers {
 		rate /= float64(max(1, b.s.Fleet))
 	}
+	burst := rate * b.s.FallWindow.Seconds() / 4
 	if w.turn == 0 {
-		w.turn, w.tokens = now, -b.rng.Float64()*b.runMean
+		if w.turn, w.tokens = now, burst; b.s.Fleet > 1 {
+			w.tokens = -b.rng.Float64() * b.runMean
+		}
 	}
-	burst := rate * b.s.FallWindow.Seconds() / 4
 	w.tokens = min(burst, w.tokens+rate*(now-w.turn).Seconds())
 	w.turn = now
 	return w.tokens >= min(burst, r.work*r.slots)
