Let a scheduler that is alone use a cold target's whole allowance at once

Seen: the Gearman exchange of priorities waited for its second job on a worker that had just come, as the burst was a quarter of a window there, too. At fault: coldRoom in balance/balance.go. The burst is small for the sake of words that come late; where there is one scheduler it is a window's, as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -749,8 +749,8 @@
 
 // coldRoom keeps what a cold worker may be sent, in seconds of work: by this dispatcher and by those whose
 // words it hears; who is silent is dead. So one allowance is all dispatchers', however many, and none of it
-// lies idle with one that has no use for it. Those that may not speak have a share each. With others about, it
-// begins empty, as they or a former life of this one may have sent, and is first used at different times.
+// lies idle with one that has no use for it. Those that may not speak have a share each. With others about,
+// whose words are late, it begins empty, is first used at different times, and in small bursts.
 func (b *Balancer) coldRoom(now time.Duration, r *request, w *worker) bool {
 	if b.warmth(now, w) >= 1 {
 		return true
@@ -759,11 +759,12 @@
 	if !b.s.Peers {
 		rate /= float64(max(1, b.s.Fleet))
 	}
-	burst := rate * b.s.FallWindow.Seconds() / 4
+	burst, first := rate*b.s.FallWindow.Seconds(), rate*b.s.FallWindow.Seconds()
+	if b.s.Fleet > 1 {
+		burst, first = burst/4, -b.rng.Float64()*b.runMean
+	}
 	if w.turn == 0 {
-		if w.turn, w.tokens = now, burst; b.s.Fleet > 1 {
-			w.tokens = -b.rng.Float64() * b.runMean
-		}
+		w.turn, w.tokens = now, first
 	}
 	w.tokens = min(burst, w.tokens+rate*(now-w.turn).Seconds())
 	w.turn = now
