--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"os"
+	"runtime"
 	"runtime/debug"
 	"sync"
 
@@ -44,6 +46,8 @@
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
 	log := slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.Name)
+	// More threads than cores only wait for one another, and those that look for work use up the share.
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
 	op, err := config.LoadOperator(o.operator, &cfg.Settings)
 	if err != nil {
--- /dev/null
+++ b/internal/decide/fleet_bench_test.go
@@ -0,0 +1,74 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cottonwell/balance"
+	"cottonwell/internal/tell"
+)
+
+// BenchmarkFleet is the cost of what comes most often in a large fleet, by targets and schedulers:
+// a change that another scheduler tells, and a request with its start, its end and its telling.
+func BenchmarkFleet(b *testing.B) {
+	for _, targets := range []int{20, 60, 200} {
+		for _, peers := range []int{2, 80, 200} {
+			var ids []string
+			for i := range targets {
+				ids = append(ids, fmt.Sprintf("s-%08x", i*2654435761))
+			}
+			begin := func(b *testing.B) (*Decider, time.Duration) {
+				d, err := New(settings(0, peers), 1, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				now := time.Hour
+				d.Step(now, &balance.Event{Kind: balance.Listed, List: balance.FromDisk, Members: members(ids...)}, nil)
+				for who := 1; who < peers; who++ { // each has three targets' work out
+					var m tell.Message
+					for k := range 3 {
+						m.Loads = append(m.Loads, tell.Load{Target: tell.NameOf(ids[(who*7+k)%targets]), Slots: 1})
+					}
+					d.Step(now, &balance.Event{Kind: balance.PeerSpoke, Who: who, Raw: string(tell.Append(nil, &m))}, nil)
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				return d, now
+			}
+			b.Run(fmt.Sprintf("heard/targets=%d/peers=%d", targets, peers), func(b *testing.B) {
+				d, now := begin(b)
+				var raw [2]string
+				for i := range raw {
+					raw[i] = string(tell.AppendPart(nil, []tell.Load{{Target: tell.NameOf(ids[5]), Slots: float64(i)}}))
+				}
+				var acts []balance.Action
+				for n := range b.N {
+					acts = d.Step(now, &balance.Event{Kind: balance.PeerSpoke, Who: 1 + n/2%(peers-1), Raw: raw[n%2]}, acts[:0])
+				}
+			})
+			b.Run(fmt.Sprintf("request/targets=%d/peers=%d", targets, peers), func(b *testing.B) {
+				d, now := begin(b)
+				var acts []balance.Action
+				for n := range b.N {
+					id := uint64(n + 1)
+					now += 50 * time.Millisecond
+					acts = d.Step(now, &balance.Event{Kind: balance.Arrived, Request: id, Class: "view", Budget: 5 * time.Second, Slots: 1}, acts[:0])
+					at := ""
+					for i := range acts {
+						if acts[i].Kind == balance.Send {
+							at = acts[i].Worker
+						}
+					}
+					if at == "" {
+						b.Fatal("not sent")
+					}
+					acts = d.Step(now, &balance.Event{Kind: balance.TimerDue, Timer: tellTimer}, acts[:0])
+					acts = d.Step(now, &balance.Event{Kind: balance.Noted, Request: id, Worker: at, Started: true}, acts[:0])
+					acts = d.Step(now, &balance.Event{Kind: balance.Ended, Request: id, Worker: at, Result: balance.OK, Final: true,
+						Report: balance.Report{Present: true, InFlight: 1, Free: 3}}, acts[:0])
+				}
+			})
+		}
+	}
+}
