--- a/balance/balance.go
+++ b/balance/balance.go
@@ -200,8 +200,9 @@
 			}
 		}
 	case PeerSpoke:
-		b.note(now, ev.Who, ev.Loads)
-		b.place(now)
+		if b.note(now, ev.Who, ev.Loads) {
+			b.place(now)
+		}
 	case Kept:
 		b.keep(ev)
 		b.place(now)
@@ -647,8 +648,9 @@
 }
 
 // note keeps what a dispatcher has out at each worker by its word: nothing, where it names none. The cost
-// grows with what was named, not with the workers: with many dispatchers these are most of all events.
-func (b *Balancer) note(now time.Duration, who int, loads map[string]float64) {
+// grows with what was named, not with the workers: with many dispatchers these are most of all events. less
+// says that there may be room now.
+func (b *Balancer) note(now time.Duration, who int, loads map[string]float64) (less bool) {
 	had := b.tells[who]
 	if had == nil {
 		had = map[string]float64{}
@@ -656,15 +658,17 @@
 	}
 	for id := range had {
 		if loads[id] == 0 {
-			b.noteAt(now, had, id, 0)
+			less = b.noteAt(now, had, id, 0) || less
 		}
 	}
 	for id, slots := range loads {
-		b.noteAt(now, had, id, slots)
+		less = b.noteAt(now, had, id, slots) || less
 	}
+	return less
 }
 
-func (b *Balancer) noteAt(now time.Duration, had map[string]float64, id string, slots float64) {
+func (b *Balancer) noteAt(now time.Duration, had map[string]float64, id string, slots float64) (less bool) {
+	less = slots < had[id]
 	if w := b.workers[id]; w != nil && had[id] != slots {
 		w.told += slots - had[id]
 		w.tokens -= max(0, slots-had[id]) * b.runMean
@@ -674,6 +678,7 @@
 	if slots == 0 {
 		delete(had, id)
 	}
+	return less
 }
 
 // keep notes that room is held at a worker, for whom and what may go there; or that it is let go.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -277,6 +277,24 @@
 	}
 }
 
+// What others tell is most of all events in a large fleet. Held jobs are looked at when there may be room, at once.
+func TestHeldJobGoesWhenOthersTellOfLess(t *testing.T) {
+	h := start(t, base(), fleet(1)...)
+	say := func(slots float64) *Action {
+		return find(h.step(Event{Kind: PeerSpoke, Who: 1, Loads: map[string]float64{"w00": slots}}), Send)
+	}
+	say(9)
+	if _, acts := h.request(); find(acts, Send) != nil {
+		t.Fatal("sent to a worker that is told to be full")
+	}
+	if say(9) != nil || say(10) != nil {
+		t.Error("sent though nothing became free")
+	}
+	if say(0) == nil {
+		t.Error("not sent when the others' work ended")
+	}
+}
+
 // Failure (vast days): a job that waits behind others' for less than a few running times is no sign that its
 // worker is silent, where no more of this dispatcher's own jobs are there. Many are.
 func TestSilenceIsJudgedByWhatIsOut(t *testing.T) {
--- a/balance/view.go
+++ b/balance/view.go
@@ -54,13 +54,16 @@
 	return r != nil && now <= min(r.answerBy, r.arrived+r.class.Aim+seconds(r.class.Stretch*r.work))
 }
 
-// Near says whether a listed worker is among the usual candidates of a dispatcher's jobs, by its number, as
-// far as one dispatcher can know of another: all place their homes alike, and this one's spread stands for
-// the other's. Where workers are few, all are near to all.
-func (b *Balancer) Near(who int, id string) bool {
+// Near returns a test of whether a listed worker is among the usual candidates of a dispatcher's jobs, by its
+// number, as far as one dispatcher can know of another: all place their homes alike, and this one's spread
+// stands for the other's. Where workers are few, all are near to all.
+func (b *Balancer) Near(id string) func(who int) bool {
 	n := float64(len(b.ring))
 	i, _ := slices.BinarySearchFunc(b.ring, id, func(w *worker, id string) int { return cmp.Compare(w.ID, id) })
-	place, spread := b.placeOf(who)
-	d := math.Abs((float64(i)+0.5)/n - place)
-	return min(d, 1-d) <= (neighbours+1)/n+spread/2
+	at := (float64(i) + 0.5) / n
+	return func(who int) bool {
+		place, spread := b.placeOf(who)
+		d := math.Abs(at - place)
+		return min(d, 1-d) <= (neighbours+1)/n+spread/2
+	}
 }
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	tellEvery  = 20 * time.Millisecond   // schedulers tell one another what they have out,
+	tellEvery  = 10 * time.Millisecond   // schedulers tell one another what they have out,
 	wholeEvery = 600 * time.Millisecond  // all of it is said to everybody now and then,
 	toldFor    = 1400 * time.Millisecond // and some of it may be lost
 )
@@ -164,17 +164,27 @@
 	if whole {
 		return nil
 	}
-	to := []int{}
-	for who := range d.s.Fleet {
-		if who != d.s.Self && slices.ContainsFunc(d.part, func(l tell.Load) bool {
-			return slices.ContainsFunc(d.names[l.Target], func(id string) bool { return d.heard[who][id] > 0 || d.module.Near(who, id) })
-		}) {
-			to = append(to, who)
+	share, n := make([]bool, d.s.Fleet), 0
+	for _, l := range d.part {
+		for _, id := range d.names[l.Target] {
+			near := d.module.Near(id)
+			for who := range share {
+				if who != d.s.Self && !share[who] && (near(who) || d.heard[who][id] > 0) {
+					share[who] = true
+					n++
+				}
+			}
 		}
 	}
-	if len(to) == d.s.Fleet-1 {
+	if n == d.s.Fleet-1 {
 		return nil
 	}
+	to := make([]int, 0, n)
+	for who, yes := range share {
+		if yes {
+			to = append(to, who)
+		}
+	}
 	return to
 }
 
