Keep the exchange of a leaving client from racing the target's 202

At fault: the script, which did not wait for the 202. Change: it waits until no attempt is without an answer.

--- a/cmd/cottonwell/exchange_test.go
+++ b/cmd/cottonwell/exchange_test.go
@@ -219,7 +219,8 @@
 				p.until(line, func() bool {
 					b := p.sched.core.Books()
 					return map[string]int{"taken": b.Taken, "left": b.Left, "served": b.Served, "refused": b.Refused, "failed": b.Failed,
-						"sends": b.Sends, "targets": b.Targets, "late": b.Dropped["news of an attempt that is over"], "open": b.Open}[verb] == n
+						"sends": b.Sends, "targets": b.Targets, "late": b.Dropped["news of an attempt that is over"], "open": b.Open,
+						"waiting": p.sched.targets.Waiting()}[verb] == n
 				})
 			case "hup": // the file is replaced by one that names this discovery; "bad" is none
 				data, err := os.ReadFile("testdata/config.json")
--- a/internal/net/target/target.go
+++ b/internal/net/target/target.go
@@ -78,6 +78,13 @@
 	return &Transport{Config: cfg, targets: map[string]*target{}, running: map[core.Ref]*attempt{}}
 }
 
+// Waiting is how many attempts have no answer of their target yet, not even a 202.
+func (t *Transport) Waiting() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.running)
+}
+
 // Listed implements core.Transport.
 func (t *Transport) Listed(g core.Group) {
 	t.mu.Lock()
