Mend the reading's finds: allowance reckoned before it is spent, words in a fixed order

Found on reading the change again. (1) coldRoom: what others told to have sent was taken off before the allowance had been refilled, so that a scheduler that had not looked for a while sent on top. (2) decide.tell collected changes from a map: the same events gave other bytes; and of two targets that share a name one was told again each 10 ms. (3) While room is held, whole datagrams went to all each 10 ms, four times as often as before. Change: refill() before anything is taken off; what was said is a list in the ring's order, and targets that share a name are told as one; held room is told each 40 ms. coldRoom no longer draws a random number each time, and unsay() is gone. docs/design/room.md says 1.4 s of silence, which holds since changes are told. Tests: TestColdAllowanceIsReckonedBeforeItIsSpent and TestSameEventsGiveTheSameWords fail without it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -117,7 +117,7 @@
 	slots                    float64   // slots it has, as reports show; 0 unknown
 	rep                      Report
 	repAt, heardAt, probedAt time.Duration
-	endedAt, turn            time.Duration // when an attempt last ended; when tokens were last reckoned
+	endedAt, tokensAt        time.Duration // when an attempt last ended; when tokens were last reckoned
 	ran, expected            float64       // seconds: running seen, and expected of an average worker
 	ejectedTo, fullTo        time.Duration
 	tokens                   float64 // seconds of work that may be sent while cold
@@ -159,9 +159,8 @@
 		return nil, err
 	}
 	b := &Balancer{s: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), classes: map[string]*class{},
-		workers: map[string]*worker{}, reqs: map[uint64]*request{},
-		tells: map[int]map[string]float64{}, retries: retryBurst, slotMean: 1, slotsMean: 2,
-		runMean:    2 * s.Classes[0].Aim.Seconds(),
+		workers: map[string]*worker{}, reqs: map[uint64]*request{}, tells: map[int]map[string]float64{},
+		retries: retryBurst, slotMean: 1, slotsMean: 2, runMean: 2 * s.Classes[0].Aim.Seconds(),
 		startDelay: map[string]time.Duration{}, lines: map[string]*line{}, blind: blindShare, gap: 0.1}
 	for _, c := range s.Classes {
 		b.classes[c.Name] = &class{Class: c, met: 1, runs: 0.1, work: 0.2 * c.Aim.Seconds(), // a first guess
@@ -267,15 +266,17 @@
 func (b *Balancer) member(now time.Duration, m *Member) {
 	w := b.workers[m.ID]
 	if w == nil {
-		w = &worker{Member: *m, heardAt: now, offset: hash(m.ID)}
+		w = &worker{}
 		if m.State == Ready {
 			b.workers[m.ID] = w
 		}
 	}
-	if m.Started != w.Started { // restarted: nothing known of the old process holds
+	if w.ID == "" || m.Started != w.Started { // new, or restarted: nothing known of an old process holds
 		*w = worker{Member: *m, listed: w.listed, own: w.own, outs: w.outs, marks: w.marks, slots: w.slots,
-			heardAt: now, offset: w.offset}
-		b.unsay(m.ID)
+			heardAt: now, offset: hash(m.ID)}
+		for _, had := range b.tells {
+			delete(had, m.ID)
+		}
 	}
 	w.Member, w.gen = *m, b.gen
 	if m.State != Ready {
@@ -299,14 +300,6 @@
 func (b *Balancer) drop(w *worker) {
 	if !w.listed && w.outs == 0 {
 		delete(b.workers, w.ID)
-		b.unsay(w.ID)
-	}
-}
-
-// unsay forgets what was told of a worker's former process.
-func (b *Balancer) unsay(id string) {
-	for _, had := range b.tells {
-		delete(had, id)
 	}
 }
 
@@ -671,7 +664,10 @@
 	less = slots < had[id]
 	if w := b.workers[id]; w != nil && had[id] != slots {
 		w.told += slots - had[id]
-		w.tokens -= max(0, slots-had[id]) * b.runMean
+		if more := slots - had[id]; more > 0 && b.warmth(now, w) < 1 {
+			b.refill(now, w)
+			w.tokens -= more * b.runMean
+		}
 		w.mark(now)
 		had[id] = slots
 	}
@@ -760,20 +756,25 @@
 	if b.warmth(now, w) >= 1 {
 		return true
 	}
+	burst := b.refill(now, w)
+	return w.tokens >= min(burst, r.work*r.slots)
+}
+
+// refill reckons the allowance of a cold worker up to now, as must be done before anything is taken off it,
+// and returns the most that it comes to.
+func (b *Balancer) refill(now time.Duration, w *worker) (burst float64) {
 	rate := coldSafety * b.s.FallMultiple * b.slots(now, w) / max(1, b.slow(w))
 	if !b.s.Peers {
 		rate /= float64(max(1, b.s.Fleet))
 	}
-	burst, first := rate*b.s.FallWindow.Seconds(), rate*b.s.FallWindow.Seconds()
+	burst = rate * b.s.FallWindow.Seconds()
 	if b.s.Fleet > 1 {
-		burst, first = burst/4, -b.rng.Float64()*b.runMean
-	}
-	if w.turn == 0 {
-		w.turn, w.tokens = now, first
+		if burst /= 4; w.tokensAt == 0 {
+			w.tokens, w.tokensAt = -b.rng.Float64()*b.runMean, now
+		}
 	}
-	w.tokens = min(burst, w.tokens+rate*(now-w.turn).Seconds())
-	w.turn = now
-	return w.tokens >= min(burst, r.work*r.slots)
+	w.tokens, w.tokensAt = min(burst, w.tokens+rate*(now-w.tokensAt).Seconds()), now
+	return burst
 }
 
 func (b *Balancer) send(now time.Duration, r *request, w *worker) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -712,6 +712,27 @@
 	}
 }
 
+// Failure (found in reading): what others told to have sent was taken off before the allowance was reckoned up to
+// then. A dispatcher that had not looked at the worker for a while refilled past it, and sent at once on top.
+func TestColdAllowanceIsReckonedBeforeItIsSpent(t *testing.T) {
+	s := base()
+	s.Peers = true
+	cold := fleet(1)
+	cold[0].Started = time.Hour
+	h := start(t, s, cold...)
+	w, r := h.b.ring[0], &request{class: h.b.classes["c"], slots: 1, work: 0.05}
+	h.b.coldRoom(h.now, r, w)
+	h.now += 2 * time.Second // full by now, though nobody looked
+	h.step(Event{Kind: PeerSpoke, Who: 1, Loads: map[string]float64{"w00": 4}})
+	if h.b.coldRoom(h.now, r, w) {
+		t.Errorf("%.2f s of work may be sent right after others sent four jobs", w.tokens)
+	}
+	h.now += 2 * time.Second
+	if !h.b.coldRoom(h.now, r, w) {
+		t.Errorf("nothing may be sent two seconds later: %.2f s", w.tokens)
+	}
+}
+
 // Failure: starts far away were told a round trip later, seemed missed, and every job was withdrawn again and again.
 func TestFarStartsAreNotMissed(t *testing.T) {
 	s := base()
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -16,6 +16,7 @@
 const (
 	tellEvery  = 10 * time.Millisecond   // schedulers tell one another what they have out,
 	wholeEvery = 600 * time.Millisecond  // all of it is said to everybody now and then,
+	holdEvery  = 40 * time.Millisecond   // and nothing but all while room is held,
 	toldFor    = 1400 * time.Millisecond // and some of it may be lost
 )
 
@@ -32,7 +33,7 @@
 	names   map[tell.Name][]string // listed targets by what datagrams call them
 	toldAt  []time.Duration        // when each other scheduler last spoke; 0: silent
 	heard   []map[string]float64   // what each of them has out
-	said    map[tell.Name]float64  // what this one has told of its own
+	said    []tell.Load            // what this one has told of its own
 	wholeAt time.Duration          // when it last told all
 	part    []tell.Load            // changes since
 	in      tell.Message
@@ -55,7 +56,7 @@
 		return nil, err
 	}
 	d := &Decider{s: s, module: module, names: map[tell.Name][]string{}, toldAt: make([]time.Duration, s.Fleet),
-		heard: make([]map[string]float64, s.Fleet), said: map[tell.Name]float64{}}
+		heard: make([]map[string]float64, s.Fleet)}
 	if err := d.startRoom(plan); err != nil {
 		return nil, err
 	}
@@ -125,45 +126,56 @@
 		}
 	}
 	d.out.Loads, d.part = d.out.Loads[:0], d.part[:0]
-	d.module.Out(func(id string, slots float64) {
+	d.module.Out(func(id string, slots float64) { // targets that share a name are told as one
 		n := tell.NameOf(id)
-		d.out.Loads = append(d.out.Loads, tell.Load{Target: n, Slots: slots})
-		if d.said[n] != slots {
-			d.part = append(d.part, tell.Load{Target: n, Slots: slots})
+		if i := index(d.out.Loads, n); i >= 0 {
+			d.out.Loads[i].Slots += slots
+			return
 		}
+		d.out.Loads = append(d.out.Loads, tell.Load{Target: n, Slots: slots})
 	})
 	d.holds(now)
-	for n := range d.said {
-		if !slices.ContainsFunc(d.out.Loads, func(l tell.Load) bool { return l.Target == n }) {
-			d.part = append(d.part, tell.Load{Target: n})
+	for _, l := range d.out.Loads {
+		if i := index(d.said, l.Target); i < 0 || d.said[i].Slots != l.Slots {
+			d.part = append(d.part, l)
 		}
 	}
-	whole := now-d.wholeAt >= wholeEvery || len(d.out.Holds) > 0 || d.held
-	if whole || len(d.part) > 0 {
+	for _, l := range d.said {
+		if index(d.out.Loads, l.Target) < 0 {
+			d.part = append(d.part, tell.Load{Target: l.Target})
+		}
+	}
+	// A datagram of changes holds no room, so that none is sent while some is held, or was by the last word.
+	holding, every := len(d.out.Holds) > 0 || d.held, wholeEvery
+	if holding {
+		every = holdEvery
+	}
+	if whole := now-d.wholeAt >= every; whole || !holding && len(d.part) > 0 {
+		to := []int(nil)
 		if whole {
 			d.wholeAt, d.held = now, len(d.out.Holds) > 0
 			d.raw = tell.Append(d.raw[:0], &d.out)
 		} else {
+			to = d.audience()
 			d.raw = tell.AppendPart(d.raw[:0], d.part)
 		}
-		clear(d.said)
-		for _, l := range d.out.Loads {
-			d.said[l.Target] = l.Slots
-		}
-		if to := d.audience(whole); to == nil || len(to) > 0 {
+		d.said = append(d.said[:0], d.out.Loads...)
+		if to == nil || len(to) > 0 {
 			acts = append(acts, balance.Action{Kind: balance.Tell, Raw: string(d.raw), To: to})
 		}
 	}
 	return append(acts, balance.Action{Kind: balance.Wake, Timer: tellTimer, After: tellEvery})
 }
 
-// audience is whom a datagram is for: changes are for those that may have jobs for the targets in
-// question, by their place on the ring or because they have some there. So what is spent on telling
-// grows with the schedulers that share a target, not with all of them. nil stands for all.
-func (d *Decider) audience(whole bool) []int {
-	if whole {
-		return nil
-	}
+// index is where loads tell of a target, or -1.
+func index(loads []tell.Load, n tell.Name) int {
+	return slices.IndexFunc(loads, func(l tell.Load) bool { return l.Target == n })
+}
+
+// audience is whom changes are for: those that may have jobs for the targets in question, by their
+// place on the ring or because they have some there. So what is spent on telling grows with the
+// schedulers that share a target, not with all of them. nil stands for all.
+func (d *Decider) audience() []int {
 	share, n := make([]bool, d.s.Fleet), 0
 	for _, l := range d.part {
 		for _, id := range d.names[l.Target] {
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -173,6 +173,58 @@
 	require.Empty(t, other.heard[40])
 }
 
+// Failure (found in reading): changes were collected from a map, so that the same events gave datagrams of other
+// bytes; and of two targets that share a name, one always seemed changed, and was told each time.
+func TestSameEventsGiveTheSameWords(t *testing.T) {
+	var ids []string
+	byName := map[tell.Name]string{}
+	for i := 0; len(ids) == 0; i++ { // two that share a name
+		id := fmt.Sprintf("s-%05d", i)
+		if other := byName[tell.NameOf(id)]; other != "" {
+			ids = []string{other, id}
+		}
+		byName[tell.NameOf(id)] = id
+	}
+	for i := range 12 {
+		ids = append(ids, fmt.Sprintf("t-%02d", i))
+	}
+	play := func() (words []string) {
+		d, err := New(settings(1, 2), 7, nil)
+		require.NoError(t, err)
+		h := start(t, d, ids...)
+		sent := map[uint64]string{}
+		for id := range uint64(40) {
+			if a := find(h.step(balance.Event{Kind: balance.Arrived, Request: id, Class: "view", Budget: time.Second, Slots: 1}), balance.Send); a != nil {
+				sent[id] = a.Worker
+			}
+		}
+		had := map[string]int{}
+		for _, at := range sent {
+			had[at]++
+		}
+		require.True(t, had[ids[0]] > 0 && had[ids[1]] > 0 && had[ids[0]] == had[ids[1]], "%v", had)
+		for id := range uint64(40) {
+			if id%8 == 0 {
+				for _, a := range h.elapse(tellEvery) {
+					if a.Kind == balance.Tell {
+						words = append(words, a.Raw)
+					}
+				}
+				require.Nil(t, find(h.elapse(tellEvery), balance.Tell), "told again though nothing changed")
+			}
+			if sent[id] != "" && sent[id] != ids[0] {
+				h.step(balance.Event{Kind: balance.Ended, Request: id, Worker: sent[id], Result: balance.OK, Final: true})
+			}
+		}
+		return words
+	}
+	first := play()
+	require.Greater(t, len(first), 3)
+	for range 5 {
+		require.Equal(t, first, play())
+	}
+}
+
 // In a small fleet all targets are near to all, so that nothing is kept from anybody.
 func TestSmallFleetsTellAll(t *testing.T) {
 	d, err := New(settings(1, 6), 1, nil)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -148,6 +148,7 @@
 		{Kind: balance.Fail, Request: 1}, {Kind: balance.Cancel, Request: 1, Attempt: 2},
 		{Kind: balance.Wake, After: 500 * us, Timer: 77}, {Kind: balance.Probe, Worker: "r"},
 		{Kind: balance.Subscribe}, {Kind: balance.Say, Text: "two\nlines"}, {Kind: balance.Tell, Raw: "\x01\xff"},
+		{Kind: balance.Tell, Raw: "\x02", To: []int{4, 7}},
 	} {
 		w.Action(3, &a)
 	}
@@ -166,6 +167,8 @@
 WATCH dispatcher=3 enable=1
 LOG dispatcher=3 reason-text=two lines
 WRITE_PEER dispatcher=3 peer=* raw=01ff
+WRITE_PEER dispatcher=3 peer=4 raw=02
+WRITE_PEER dispatcher=3 peer=7 raw=02
 PANIC dispatcher=5 reason-text=index out of range
 YIELD seq=12
 `
