Open the watch where lists are pushed, read lists in any layout, end silent watches sooner

On sockets the agent has to be asked as well.

A silent watch ended after 5 s, of the 6 s after which what it misses counts as told; now 3.5 s.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,7 +36,10 @@
 	RawSettings map[string]any `json:"settings"`
 
 	Settings balance.Settings `json:"-"`
-	Seed     uint64           `json:"-"`
+	// Pushed says that discovery is an agent on this machine: what that has counts as told, whether or not it was
+	// read.
+	Pushed bool   `json:"-"`
+	Seed   uint64 `json:"-"`
 }
 
 // Load reads the file named by the environment; variables of their own win over it.
@@ -103,6 +106,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	// On sockets lists always come on a watch that has to be opened; the settings say only whose it is.
+	c.Pushed, c.Settings.Subscribe = !c.Settings.Subscribe, true
 	return c, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -30,6 +30,17 @@
 	require.Equal(t, 2.5, s.Classes[1].Stretch)
 }
 
+// Failure (short days of a site whose lists are pushed): the settings say that nothing is to be asked for, so no watch was
+// ever opened, and drains were never heard of. On sockets the agent has to be asked, too.
+func TestListsAreWatchedAlsoWhereTheyArePushed(t *testing.T) {
+	require.False(t, load(t).Pushed)
+	data, err := os.ReadFile("../../cmd/cottonwell/testdata/config.json")
+	require.NoError(t, err)
+	c, err := Parse([]byte(strings.NewReplacer("TARGETS", "", `"registry-mode":"subscribe"`, `"registry-mode":"automatic"`).Replace(string(data))))
+	require.NoError(t, err)
+	require.True(t, c.Pushed && c.Settings.Subscribe)
+}
+
 func TestFlatten(t *testing.T) {
 	for _, c := range []struct {
 		in   map[string]any
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -2,12 +2,12 @@
 package discovery
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"strconv"
@@ -22,7 +22,9 @@
 const (
 	dialFor  = 1000.0 // milliseconds
 	firstFor = 3000.0 // until the first object: calls wait in turn there
-	quietFor = 5000.0 // an empty line comes every 2 s, so by then the watch is dead though TCP does not say so
+	// An empty line comes every 2 s, so by then the watch is dead though TCP does not say so. What a silent watch
+	// misses counts as told 6 s after it fell silent, and a new one has to be open by then.
+	quietFor = 3500.0
 )
 
 // Watcher holds at most one watch open. It does not try again by itself: it tells of
@@ -31,6 +33,8 @@
 type Watcher struct {
 	Config
 	asked chan struct{}
+	heard chan struct{} // closed at the first sign of life
+	first sync.Once
 
 	mu     sync.Mutex
 	moved  bool               // Address is new, and nobody has been asked there yet
@@ -99,7 +103,12 @@
 }
 
 // New makes a watcher ready.
-func New(cfg Config) *Watcher { return &Watcher{Config: cfg, asked: make(chan struct{}, 1)} }
+func New(cfg Config) *Watcher {
+	return &Watcher{Config: cfg, asked: make(chan struct{}, 1), heard: make(chan struct{})}
+}
+
+// Heard returns a channel that is closed once discovery has said anything on a watch.
+func (w *Watcher) Heard() <-chan struct{} { return w.heard }
 
 // Run holds the watches that are asked for, until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
@@ -155,25 +164,30 @@
 		return fmt.Errorf("answer: status %d", resp.StatusCode)
 	}
 	w.Log.Info("watch open", "discovery", address, "held", w.Held, "from", w.From)
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, 1<<20)
-	for {
-		if !lines.Scan() {
-			return cmpErr(lines.Err(), errors.New("the stream ended"))
-		}
+	beat := &pulse{r: resp.Body, alive: func() error {
 		c.Grant()
-		if err := c.SetReadDeadline(w.Clock.Deadline(quietFor)); err != nil {
-			return err
-		}
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
-		}
+		return c.SetReadDeadline(w.Clock.Deadline(quietFor))
+	}}
+	if err := beat.alive(); err != nil {
+		return err
+	}
+	beat.beats = func() { w.first.Do(func() { close(w.heard) }) }
+	for lists := json.NewDecoder(beat); ; {
 		var l List
-		if err := json.Unmarshal(line, &l); err != nil {
-			// What this line changed is lost: only the whole list can mend that.
-			w.Held, w.From = false, 0
-			return fmt.Errorf("a line that cannot be read: %w", err)
+		if err := lists.Decode(&l); err != nil {
+			if errors.Is(err, io.EOF) {
+				return errors.New("the stream ended")
+			}
+			if beat.failed == nil {
+				// What this object changed is lost: only the whole list can mend that.
+				w.Held, w.From = false, 0
+				return fmt.Errorf("a list that cannot be read: %w", err)
+			}
+			return err // the stream's: what has come of a list is nothing, and is told again
+		}
+		ahead, _ := io.ReadAll(lists.Buffered())
+		if err := beat.whole(len(bytes.TrimSpace(ahead)) > 0); err != nil {
+			return err
 		}
 		g, err := l.TargetGroup()
 		if err != nil {
@@ -182,12 +196,35 @@
 		w.Held, w.From = true, l.Index
 		w.Log.Info("list", "index", l.Index, "whole", l.Snapshot, "targets", len(l.Endpoints))
 		w.Tell(g)
+		beat.beats()
 	}
 }
 
-func cmpErr(err, instead error) error {
-	if err != nil {
-		return err
+// pulse passes on a stream of lists, one JSON object after the other in any layout, with white space between, and
+// keeps the watch alive as it comes. White space is a sign of life only between objects, and an object only once: one
+// that does not come whole in time is as good as silence.
+type pulse struct {
+	r      io.Reader
+	alive  func() error
+	beats  func() // called at a sign of life that is no list
+	within bool   // an object has begun
+	failed error  // of the stream
+}
+
+func (p *pulse) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	if n > 0 && !p.within && err == nil {
+		if p.within = len(bytes.TrimSpace(b[:n])) > 0; !p.within {
+			p.beats()
+		}
+		err = p.alive()
 	}
-	return instead
+	p.failed = err
+	return n, err
+}
+
+// whole notes that an object has come whole, and whether the next one has begun.
+func (p *pulse) whole(begun bool) error {
+	p.within = begun
+	return p.alive()
 }
