Let only its owner close a connection, and judge an answer by its head

Read line by line for events that cross; each of these could end a request that had been taken on without an answer, or let a second copy out. Now the owner is woken, looks whether a request has come, serves it, or half-closes and drains. Every close after an answer is gentle, too. - A client that had sent more than its request was not seen to leave (flow waited for the answer alone). - Where the platform lets no attempt be given up, one whose client left still went out once its connection was up; the core now withdraws it. - At the end, requests that came after the last answers were given were taken and killed; they are refused at once. New connections whose first request was on the way were closed over it. A client that stays reading can no longer keep the program past its time. - A full house closed new connections unread; now it says 503, so many at a time. - A 202 or a 503 whose body broke off or never ended was a reset or silence; the head counts now. 1xx answers were taken for answers.

--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -34,6 +34,8 @@
 	killAfter  = 3000.0 // and the longest deadline, up to this, that much before SIGKILL
 	windFor    = 700.0  // before SIGKILL, to finish what is there
 	lastFor    = 300.0  // before SIGKILL, to answer what is not finished
+	endFor     = 60.0   // before SIGKILL, to end whatever clients do
+	firstFor   = 1000.0 // for the first list of an agent, before clients are let in
 	statsEvery = 10_000.0
 	reserve    = 64 // descriptors kept for discovery, the log and the runtime
 )
@@ -104,6 +106,7 @@
 	peers    *peers.Link     // nil where schedulers may not speak to one another
 	duties   *duties.Host    // nil while that is off
 	killAt   float64         // milliseconds from SIGTERM to SIGKILL, at least
+	pushed   bool            // what discovery's agent has counts as told from the first moment
 }
 
 // ruling is a document of the fleet's as the core keeps it.
@@ -136,7 +139,7 @@
 // assemble puts the parts together; nothing runs yet.
 func assemble(cfg *config.Config, op *config.Operator, clk clock.Clock, log *slog.Logger) (*scheduler, error) {
 	stack, inv := httpio.NewStack(), invariant.New()
-	s := &scheduler{log: log, clock: clk, inv: inv}
+	s := &scheduler{log: log, clock: clk, inv: inv, pushed: cfg.Pushed && cfg.Discovery != ""}
 	places := cfg.Limits.Sockets - reserve
 	if op != nil && op.Gearman != nil {
 		places -= op.Gearman.Connections
@@ -252,6 +255,9 @@
 			}
 		})
 	}
+	if s.pushed {
+		s.await(ctx, s.watch.Heard(), firstFor) // or the first requests might go to targets that drain
+	}
 	s.listener.SetReady(true)
 	<-ctx.Done()
 	s.log.Info("winding down")
@@ -267,16 +273,29 @@
 	if s.gearman != nil {
 		s.gearman.Wind() // or clients that stay on their connections would keep the program from its end
 	}
-	last := s.clock.NewAlarm()
+	last, end := s.clock.NewAlarm(), s.clock.NewAlarm()
 	defer last.Stop()
+	defer end.Stop()
 	last.Set(begin + max(graceFor, s.killAt-lastFor))
+	end.Set(begin + max(graceFor, s.killAt-endFor))
+	shut := false
 	for idle := s.core.Idle(); ; {
 		select {
+		case <-end.C():
+			s.log.Warn("ending with connections open", "busy", s.listener.Busy())
+			return
 		case <-last.C():
 			s.core.Finish() // what SIGKILL finds unanswered is lost
+			s.listener.Shut()
+			shut = true
 		case <-idle:
 			if s.listener.Busy() == 0 {
-				return
+				if shut {
+					return
+				}
+				// What waits for a first request may have it on the way; the next round sees whether.
+				s.listener.Shut()
+				shut = true
 			}
 			s.sleep(20)
 			idle = s.core.Idle()
@@ -284,6 +303,18 @@
 	}
 }
 
+// await waits for something to happen, for so many milliseconds at most.
+func (s *scheduler) await(ctx context.Context, happens <-chan struct{}, within float64) {
+	a := s.clock.NewAlarm()
+	defer a.Stop()
+	a.Set(s.clock.Now() + within)
+	select {
+	case <-happens:
+	case <-a.C():
+	case <-ctx.Done():
+	}
+}
+
 func (s *scheduler) sleep(ms float64) {
 	a := s.clock.NewAlarm()
 	defer a.Stop()
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -16,6 +16,11 @@
 		f.From.Answer(Answer{Kind: Failed})
 		c.free(f)
 		return
+	case c.finished:
+		c.books.Refused++
+		f.From.Answer(Answer{Kind: Refused, RetryAfter: c.cfg.ComeBack})
+		c.free(f)
+		return
 	case c.cfg.MaxOpen > 0 && c.open >= c.cfg.MaxOpen:
 		c.books.Full++
 		c.books.Refused++
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,9 @@
 	books   Books
 	idle    []chan struct{}    // closed once no flow is open
 	longest map[string]float64 // patience that came with a request, by class
+	classes map[string]*balance.Class
+	// finished says that the program ends: nothing is taken in any more.
+	finished bool
 	ruling
 }
 
@@ -82,9 +85,11 @@
 	c := &Core{cfg: cfg, log: cfg.Log, clock: cfg.Clock, inv: cfg.Invariants, module: module,
 		sources: map[string]*source{}, events: make(chan event, 1024), done: make(chan struct{}),
 		flows: map[uint64]*flow{}, byID: map[string]*flow{}, targets: map[string]*source{},
-		books: Books{Dropped: map[string]int{}}, longest: map[string]float64{}, ruling: ruling{rules: Rules{Cold: 1}}}
-	for _, class := range cfg.Settings.Classes {
-		c.longest[class.Name] = 0
+		books: Books{Dropped: map[string]int{}}, longest: map[string]float64{},
+		classes: map[string]*balance.Class{}, ruling: ruling{rules: Rules{Cold: 1}}}
+	for i := range cfg.Settings.Classes {
+		class := &cfg.Settings.Classes[i]
+		c.longest[class.Name], c.classes[class.Name] = 0, class
 	}
 	for _, s := range sources {
 		c.sources[s.Name] = &source{Source: s, members: map[string]Target{}}
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -41,9 +41,26 @@
 		}
 		return
 	}
+	if e.n.Result != balance.OK && f.doubtful(n) {
+		// The word may be of an earlier attempt there, which ended here without the target's word. Taken for this
+		// one's it would let a further attempt out beside it, so this one is given up first.
+		c.drop("an end that may be another attempt's")
+		c.cancel(Ref{f.number, n})
+		return
+	}
 	c.conclude(f, n, Outcome{Ref: Ref{f.number, n}, Result: e.n.Result, Report: e.n.Report, Body: e.n.Body})
 }
 
+// doubtful says whether an earlier attempt at the same target ended without that target's word.
+func (f *flow) doubtful(n int) bool {
+	for _, a := range f.attempts[:n] {
+		if a.target == f.attempts[n].target && (a.result == balance.Reset || a.result == balance.TimedOut || a.result == balance.Cancelled) {
+			return true
+		}
+	}
+	return false
+}
+
 // conclude ends an attempt, relays a result to the client and tells the module.
 func (c *Core) conclude(f *flow, n int, o Outcome) {
 	a := &f.attempts[n]
@@ -106,13 +123,14 @@
 type finishAll struct{}
 
 func (finishAll) apply(c *Core) {
+	c.finished = true
 	for _, f := range c.flows {
 		if f.answered {
 			continue
 		}
 		ans := Answer{Kind: Refused, RetryAfter: c.cfg.ComeBack}
 		for _, a := range f.attempts {
-			if !a.ended || a.result != balance.Full && a.result != balance.NoConnection && a.result != balance.NeverSent {
+			if c.mayHaveRun(&a) {
 				ans = Answer{Kind: Failed}
 			}
 		}
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -1,13 +1,15 @@
 package core
 
 import (
+	"math"
+
 	"cottonwell/balance"
 	"cottonwell/internal/clock"
 )
 
 // send starts an attempt. The rules that hold whatever the module decides are kept
-// here: nothing for a flow that is over, one attempt out at a time, three at most. A
-// send against them is never begun, and the module is told so.
+// here: nothing for a flow that is over, one attempt out at a time, so many at most as the settings
+// say, and repeats only as the class allows. A send against them is never begun, and the module is told so.
 func (c *Core) send(a *balance.Action) {
 	f := c.flows[a.Request]
 	if !c.inv.Check(f != nil, "send-unknown-flow", "flow %d", a.Request) {
@@ -20,7 +22,11 @@
 		c.inv.Check(f.out < 0 || c.cfg.Settings.Duplicates, "two-attempts-out", "flow %d", f.number) &&
 		c.inv.Check(n < c.cfg.Settings.MaxAttempts, "too-many-attempts", "flow %d", f.number) &&
 		c.inv.Check(s != nil, "send-unknown-target", "%s", a.Worker)
-	if !ok || now >= f.deadline {
+	latest := c.latest(f, n)
+	if ok && latest <= 0 {
+		ok = c.inv.Check(false, "repeat-of-unsafe", "flow %d", f.number)
+	}
+	if !ok || now >= min(f.deadline, latest) {
 		f.attempts[n].ended = true
 		c.step(balance.Event{Kind: balance.Ended, Request: f.number, Attempt: n, Worker: a.Worker,
 			Result: balance.NeverSent, Final: f.answered})
@@ -36,7 +42,33 @@
 	if f.Job.Body != nil {
 		f.Job.Body.Retain()
 	}
-	s.Transport.Start(Attempt{Ref: Ref{f.number, n}, ID: f.ID, Class: f.Class, Target: a.Worker, Job: f.Job, Deadline: by})
+	s.Transport.Start(Attempt{Ref: Ref{f.number, n}, ID: f.ID, Class: f.Class, Target: a.Worker, Job: f.Job, Deadline: by, Latest: latest})
+}
+
+// latest is until when attempt n of a flow may leave: for ever, unless an earlier one may have run; then, by the class,
+// until the targets begin to forget that one, or not at all (0). It is looked at again as the first byte goes.
+func (c *Core) latest(f *flow, n int) float64 {
+	class := c.classes[f.Class]
+	for i := range f.attempts[:n] {
+		if a := &f.attempts[i]; class != nil && class.Effect != balance.Safe && c.mayHaveRun(a) {
+			if class.Effect == balance.Unsafe {
+				return 0
+			}
+			return a.sentAt + clock.Millis(class.Window-2*c.cfg.Settings.Tick)
+		}
+	}
+	return math.Inf(1)
+}
+
+// mayHaveRun says whether an attempt may have run, or still may.
+func (c *Core) mayHaveRun(a *attempt) bool {
+	switch a.result {
+	case balance.NoConnection, balance.NeverSent:
+		return !a.ended
+	case balance.Full:
+		return !a.ended || c.cfg.Settings.FullMayHaveRun
+	}
+	return true
 }
 
 // cancel gives an attempt up. It is over once the transport says so: until then the
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -61,4 +61,11 @@
 	c.books.Left++
 	c.finish(f)
 	c.step(balance.Event{Kind: balance.Departed, Request: f.number})
+	c.route()
+	// The module gives up what is out where the platform lets it. Whatever the platform says, what has not left
+	// by now, as a connection is still coming up, does not leave any more.
+	if f.out >= 0 && !f.attempts[f.out].cancelling {
+		a := &f.attempts[f.out]
+		a.by.Cancel(Attempt{Ref: Ref{f.number, f.out}, ID: f.ID, Class: f.Class, Target: a.target, Unsent: true})
+	}
 }
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -86,6 +86,8 @@
 	Target   string
 	Job      Job     // its body is held for the transport until it calls Release; not given to Cancel
 	Deadline float64 // when the core stops waiting, on its clock; not given to Cancel
+	Latest   float64 // when it may leave at the latest, as the class may not be repeated later (0: no limit); not given to Cancel
+	Unsent   bool    // for Cancel: only if nothing of it has left, and with no word to the target
 }
 
 // Transport reaches the targets of one source. All calls come from the core's
--- a/internal/gearman/workers.go
+++ b/internal/gearman/workers.go
@@ -219,12 +219,15 @@
 			w.put = slices.Delete(w.put, i, i+1)
 		}
 		for _, x := range w.handed {
-			if x.Ref == a.Ref {
+			if x.Ref == a.Ref && !a.Unsent {
 				x.givenUp = true // it stays in hand: the worker is busy with it
 			}
 		}
 	}
 	s.mu.Unlock()
+	if at == nil && a.Unsent {
+		return
+	}
 	if at == nil {
 		at = &attempt{Attempt: core.Attempt{Ref: a.Ref}}
 	}
--- a/internal/net/httpio/httpio.go
+++ b/internal/net/httpio/httpio.go
@@ -58,12 +58,46 @@
 	return err
 }
 
-// ReadRequest reads one request with its whole body, until the deadline.
-func (c *Conn) ReadRequest(deadline time.Time) (*http.Request, *buffer.Body, error) {
-	c.limit.N = maxOnTheAir
-	if err := c.SetReadDeadline(deadline); err != nil {
-		return nil, nil, err
+// Ahead says whether bytes that nobody has taken yet were read from the connection.
+func (c *Conn) Ahead() bool { return c.br.Buffered() > 0 }
+
+// Watch reads ahead while a request is in work, so that it is seen when the other side goes, also behind
+// whatever it has sent ahead. It returns nil once it is woken or the read deadline has passed, else what ended
+// the connection. What does not fit the buffer is dropped, as nobody may send so much ahead: flooded says so,
+// and nothing that is read from then on is a message. Beyond maxOnTheAir it is ErrTooLarge.
+func (c *Conn) Watch() (flooded bool, err error) {
+	for dropped := 0; ; {
+		c.limit.N = maxOnTheAir
+		n := c.br.Buffered()
+		if n >= buffer.Size {
+			if dropped += n; dropped > maxOnTheAir {
+				return true, ErrTooLarge
+			}
+			_, _ = c.br.Discard(n)
+			flooded, n = true, 0
+		}
+		if _, err := c.br.Peek(n + 1); err != nil {
+			if TimedOut(err) {
+				return flooded, nil
+			}
+			return flooded, err
+		}
 	}
+}
+
+// Wake ends a read that waits, and each further one until a new deadline is set.
+func (c *Conn) Wake() { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+
+// TimedOut says whether an error is a deadline's.
+func TimedOut(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// ReadRequest reads one request with its whole body. The read deadline is the caller's to set before; answers
+// to 'Expect' are written until writeBy.
+func (c *Conn) ReadRequest(writeBy time.Time) (*http.Request, *buffer.Body, error) {
+	c.limit.N = maxOnTheAir
 	if err := c.checkHead(); err != nil {
 		return nil, nil, err
 	}
@@ -75,6 +109,9 @@
 		return req, nil, ErrTooLarge
 	}
 	if req.Header.Get("Expect") == "100-continue" {
+		if err := c.SetWriteDeadline(writeBy); err != nil {
+			return req, nil, err
+		}
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return req, nil, err
 		}
@@ -86,22 +123,43 @@
 	return req, body, nil
 }
 
-// ReadResponse reads one answer to a request of the given method, its body up to
-// buffer.MaxBody, until the deadline.
-func (c *Conn) ReadResponse(method string, deadline time.Time) (*http.Response, *buffer.Body, error) {
+// interim is how many 1xx answers may come before the one that counts.
+const interim = 4
+
+// ReadHead reads the head of an answer to a request of the given method, until the deadline. 1xx answers before
+// it are passed over. The body is ReadRest's to read.
+func (c *Conn) ReadHead(method string, deadline time.Time) (*http.Response, error) {
 	c.limit.N = maxOnTheAir
 	if err := c.SetReadDeadline(deadline); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
-	if err != nil {
-		return nil, nil, c.fault(err)
+	for range interim + 1 {
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		if err != nil {
+			return nil, c.fault(err)
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: more than %d interim answers", ErrMalformed, interim)
+}
+
+// ReadRest reads the body of an answer, up to buffer.MaxBody, until the deadline.
+func (c *Conn) ReadRest(resp *http.Response, deadline time.Time) (*buffer.Body, error) {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return nil, err
 	}
 	body, err := c.stack.Buffers.Read(resp.Body)
 	if err != nil {
-		return resp, nil, c.fault(err)
+		return nil, c.fault(err)
 	}
-	return resp, body, nil
+	return body, nil
+}
+
+// RestIsHere says whether the whole body of an answer has come already, so that to read it waits for nothing.
+func (c *Conn) RestIsHere(resp *http.Response) bool {
+	return resp.ContentLength >= 0 && resp.ContentLength <= int64(c.br.Buffered())
 }
 
 // Stream reads the head of an answer whose body goes on; the caller reads Body line by
@@ -218,12 +276,17 @@
 // Give gives a place back.
 func (b *Budget) Give() { <-b.slots }
 
-// CloseGently closes a connection on which the other side may still be writing. To close
-// it with bytes unread would reset it, and the last answer could be lost on the way.
+// CloseGently closes a connection on which the other side may still be writing: it ends its own side, then
+// takes and drops what still comes, until the other side ends too or the deadline has passed. To close it with
+// bytes unread would reset it, and the last answer could be lost on the way. Nothing that is read here may be
+// acted on: no answer can follow any more.
 func CloseGently(c net.Conn, deadline time.Time) {
 	defer c.Close()
-	tcp, ok := c.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil || c.SetReadDeadline(deadline) != nil {
+	if conn, ok := c.(*Conn); ok {
+		c = conn.Conn
+	}
+	half, ok := c.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(deadline) != nil {
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(c, maxOnTheAir)) // whatever it was, nobody wants it
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -25,7 +25,8 @@
 	readFor   = 2_400.0   // from connecting to a first request's last byte; later, from its first byte
 	writeFor  = 2_000.0
 	restShare = 5       // of the places, one in so many may rest between jobs
-	lingerFor = 400.0   // for a client to read why its request is no request
+	lingerFor = 400.0   // for a client to end a connection of which we have ended our side
+	overMost  = 16      // connections over the budget that may close gently; as many may be turned off in words
 	spare     = 5_000.0 // how much longer than its client's patience a flow may take before its connection is dropped
 )
 
@@ -46,8 +47,9 @@
 
 	Counts Counts
 
-	ready atomic.Bool
-	seats seats
+	ready   atomic.Bool
+	seats   seats
+	turning atomic.Int64 // connections that are told that there is no place
 }
 
 // Counts are a listener's figures, for the log: requests answered with an error of the
@@ -73,12 +75,17 @@
 
 // Wind closes connections that stand between requests, and each further one once it
 // has its answer. New ones are still accepted: targets call back until the end.
-func (l *Listener) Wind() { l.seats.wind() }
+func (l *Listener) Wind() { l.seats.wind(false) }
+
+// Shut closes those too that still wait for a first request, and each new one on which none has come. What has
+// come is served.
+func (l *Listener) Shut() { l.seats.wind(true) }
 
 // Winding says whether Wind was called.
 func (l *Listener) Winding() bool { return l.seats.winding() }
 
-// Busy is how many requests are being read, served or answered.
+// Busy is how many requests are being read, served or answered, and how many connections close; after Shut
+// also how many wait for a first request.
 func (l *Listener) Busy() int { return l.seats.busy() }
 
 // Serve accepts connections until ctx ends, then closes what is left.
@@ -105,7 +112,7 @@
 			// Every place has a request in work. To leave the connection waiting would keep call-backs
 			// waiting behind it, too; a target tries its call again.
 			l.Counts.TurnedOff.Add(1)
-			nc.Close()
+			l.turnOff(&all, nc)
 			continue
 		}
 		all.Go(func() { l.serve(ctx, seat) })
@@ -122,45 +129,89 @@
 	}
 }
 
+// turnOff refuses whatever is asked on a connection for which there is no place. To close it with a request
+// unread would reset it, and its client would not know that to try again is harmless. When many come at once
+// the rest are only closed.
+func (l *Listener) turnOff(all *sync.WaitGroup, nc net.Conn) {
+	if l.turning.Add(1) > overMost {
+		l.turning.Add(-1)
+		nc.Close()
+		return
+	}
+	all.Go(func() {
+		defer l.turning.Add(-1)
+		l.reply(l.Stack.Wrap(nc), noPlace())
+		httpio.CloseGently(nc, l.Clock.Deadline(lingerFor))
+	})
+}
+
+func noPlace() reply {
+	return reply{status: http.StatusServiceUnavailable, retryAfter: 1000, text: "refused: no place\n", close: true}
+}
+
 // serve takes the requests of one connection, one after the other.
 func (l *Listener) serve(ctx context.Context, x *seat) {
 	defer l.seats.leave(x)
 	c := x.conn
-	by := l.Clock.Deadline(readFor)
 	// A new connection may have its first request on the way, so it is not closed unread while
 	// the program winds down, but a silent one must not hold its place.
-	if c.SetReadDeadline(by) != nil || c.Await() != nil {
+	if !l.seats.move(x, fresh, false, readFor) {
+		l.part(x)
 		return
 	}
+	begun := l.Clock.Now()
 	for ctx.Err() == nil {
-		if !l.seats.move(x, reading, false) {
+		if err := c.Await(); err != nil {
+			if httpio.TimedOut(err) { // nothing came in time, or the connection was told to end
+				l.part(x)
+			}
 			return
 		}
-		req, body, err := c.ReadRequest(by)
+		within := readFor
+		if begun > 0 {
+			within, begun = readFor-(l.Clock.Now()-begun), 0
+		}
+		if !l.seats.move(x, reading, false, within) {
+			c.Wake() // its place is taken, and what has come is refused unread
+		}
+		req, body, err := c.ReadRequest(l.Clock.Deadline(writeFor))
 		if err != nil {
-			if l.reject(c, err) && l.seats.move(x, resting, false) {
-				httpio.CloseGently(c.Conn, l.Clock.Deadline(lingerFor))
+			if l.reject(c, err) {
+				l.part(x)
 			}
 			return
 		}
-		if !l.seats.move(x, serving, false) {
+		if !l.seats.move(x, serving, false, readFor) {
 			body.Release()
+			l.reply(c, noPlace())
+			l.part(x)
 			return
 		}
-		if !l.answer(x, req, body) || c.Await() != nil {
+		if !l.answer(x, req, body) {
 			return
 		}
-		by = l.Clock.Deadline(readFor)
 	}
 }
 
-// rest readies a connection for its next request, and says whether it may come.
+// rest readies a connection for its next request, and says whether it may come. One that has come already is
+// served, whatever became of the connection meanwhile.
 func (l *Listener) rest(x *seat, job bool) bool {
 	idle := spareFor
 	if job || x.job {
 		idle = idleFor
 	}
-	return x.conn.SetReadDeadline(l.Clock.Deadline(idle)) == nil && l.seats.move(x, resting, job)
+	if l.seats.move(x, resting, job, idle) || x.conn.Ahead() {
+		return true
+	}
+	l.part(x)
+	return false
+}
+
+// part closes a connection of which nothing more is taken.
+func (l *Listener) part(x *seat) {
+	if l.seats.close(x) {
+		httpio.CloseGently(x.conn, l.Clock.Deadline(lingerFor))
+	}
 }
 
 // reject answers what could not be read, if there may be somebody to answer, and says whether.
@@ -213,8 +264,15 @@
 		l.Counts.Rejected.Add(1)
 		l.Log.Debug("rejected", "peer", x.conn.RemoteAddr(), "cause", r.text)
 	}
-	r.close = r.close || req.Close
-	return l.reply(x.conn, r) && !r.close && l.rest(x, false)
+	r.close = r.close || req.Close || l.seats.parting(x)
+	switch {
+	case !l.reply(x.conn, r):
+		return false
+	case r.close:
+		l.part(x)
+		return false
+	}
+	return l.rest(x, false)
 }
 
 func (l *Listener) up(req *http.Request) reply {
@@ -237,42 +295,48 @@
 func (e *exchange) Progress(core.Progress) {}
 
 // flow hands a job to the core, waits for its answer and writes that. A client that
-// closes its side meanwhile has gone away.
+// closes its side meanwhile has gone away, also one that has sent more before.
 func (l *Listener) flow(x *seat, r *core.Request, last bool) bool {
 	c := x.conn
 	e := &exchange{answers: make(chan core.Answer, 1)}
 	r.From = e
-	patience := r.Patience // the core owns r from here on
-	ticket := l.Core.TakeIn(r)
-	if err := c.SetReadDeadline(l.Clock.Deadline(patience + spare)); err != nil {
-		ticket.Left()
+	// The core owns r once it is taken in. The deadline goes before, as a connection that broke by now must not
+	// bring a job.
+	if err := c.SetReadDeadline(l.Clock.Deadline(r.Patience + spare)); err != nil {
+		r.Job.Body.Release()
 		return false
 	}
-	next := make(chan error, 1)
-	go func() { next <- c.Await() }()
+	ticket := l.Core.TakeIn(r)
+	var flooded bool
+	gone := make(chan error, 1)
+	go func() {
+		var err error
+		flooded, err = c.Watch()
+		gone <- err
+	}()
 	var a core.Answer
 	select {
 	case a = <-e.answers:
-	case err := <-next:
-		if err != nil {
-			ticket.Left()
-			return false
+		c.Wake()
+		<-gone // had it gone in this moment, the answer may still arrive: it may have ended its own side alone
+	case err := <-gone:
+		ticket.Left()
+		if err == nil || errors.Is(err, httpio.ErrTooLarge) {
+			l.part(x) // no answer came in time; or a flood, which is no client of the protocol's
 		}
-		a = <-e.answers // the next request is there already: it has to wait
-		next <- nil
+		return false
 	}
 	p := fixedResponse(a)
 	// While winding down, an answer is the best moment to part: no request can cross the closing.
-	p.close = last || l.seats.winding()
-	if !l.reply(c, p) || p.close {
-		c.Close() // ends Await
-		<-next
+	p.close = last || flooded || l.seats.parting(x)
+	switch {
+	case !l.reply(c, p):
+		return false
+	case p.close:
+		l.part(x)
 		return false
 	}
-	if !l.rest(x, true) {
-		c.Close()
-	}
-	return <-next == nil
+	return l.rest(x, true)
 }
 
 // fixedResponse words the core's answer in this protocol.
--- a/internal/net/listener/listener_test.go
+++ b/internal/net/listener/listener_test.go
@@ -96,11 +96,12 @@
 			}
 		}
 		l.seats.mu.Unlock()
-		require.True(t, l.seats.move(x, serving, true))
-		l.seats.move(x, resting, true)
+		require.True(t, l.seats.move(x, serving, true, 1))
+		l.seats.move(x, resting, true, 1)
 		if i >= 5 {
 			_, err := conns[i-5].Read(make([]byte, 1))
 			require.ErrorIs(t, err, io.EOF)
+			require.NoError(t, conns[i-5].Close()) // as clients do; one that stays is closed after lingerFor
 			require.Eventually(t, func() bool { return l.taken() == 5 }, 10*time.Second, time.Millisecond)
 		}
 	}
@@ -115,7 +116,7 @@
 		want  int
 	}{
 		{resting, false, 1}, {fresh, false, 2}, {reading, false, 2}, {resting, true, 3},
-		{reading, true, 0}, {serving, false, 0}, {serving, true, 0},
+		{reading, true, 0}, {serving, false, 0}, {serving, true, 0}, {closing, false, 1}, {closing, true, 0},
 	} {
 		require.Equal(t, c.want, (&seat{state: c.state, job: c.job}).worth(), "%+v", c)
 	}
--- a/internal/net/listener/parse.go
+++ b/internal/net/listener/parse.go
@@ -18,7 +18,7 @@
 // parseJob reads a job's head. The body is not its concern.
 func parseJob(req *http.Request, class string, rules Class) (*core.Request, error) {
 	h := req.Header
-	for _, name := range []string{"X-Txn", "X-Org", "X-Remaining", "X-Labels", "Idempotency-Key", "Content-Type"} {
+	for _, name := range []string{"X-Txn", "X-Org", "X-Remaining", "X-Labels", "X-Estimate", "Idempotency-Key", "Content-Type"} {
 		if len(h[name]) > 1 {
 			return nil, fmt.Errorf("%s stands there twice", name)
 		}
@@ -51,6 +51,13 @@
 		}
 		r.Patience = ms
 	}
+	if s := h.Get("X-Estimate"); s != "" {
+		us, err := strconv.ParseFloat(s, 64)
+		if err != nil || !(us >= 0 && us < 3.6e9) {
+			return nil, fmt.Errorf("X-Estimate: %q is not a number of microseconds", s)
+		}
+		r.Hint = us / 1000
+	}
 	if err := parseLabels(h.Get("X-Labels"), r); err != nil {
 		return nil, fmt.Errorf("X-Labels: %w", err)
 	}
--- a/internal/net/listener/seats.go
+++ b/internal/net/listener/seats.go
@@ -14,7 +14,8 @@
 	fresh   standing = iota // nothing has come on it yet
 	reading                 // a request is coming
 	serving                 // a request is there and not yet answered
-	resting                 // between requests, or closing after an error
+	resting                 // between requests
+	closing                 // nothing that comes is taken any more; it closes in a moment
 )
 
 // seat is a connection's place in the listener's budget of sockets.
@@ -24,21 +25,27 @@
 	since float64 // of that state; for one without a request so far, of the connection
 	job   bool    // it has brought a job
 	taken bool    // the place went to another connection
-	ended bool    // closed as it rested too long
+	ended bool    // told to close, as it rested too long or the program ends
 }
 
 // seats are the connections of a listener. A full house never keeps a new one waiting
 // while some places are held by connections that bring nothing: call-backs come to the
 // same address, and without them no job ends.
+//
+// Nobody but its own goroutine closes a connection (at the very end apart): whoever wants it closed marks the
+// seat and wakes the reader, which looks whether a request had come by then. Were it closed from outside, a
+// request that was just being read would be taken and never answered.
 type seats struct {
 	clock  clock.Clock
 	budget *httpio.Budget
 	counts *Counts
 	rests  int // so many connections may rest between jobs
 
-	mu      sync.Mutex
-	closing bool
-	all     map[*seat]bool
+	mu    sync.Mutex
+	winds bool // none may come to rest any more
+	shut  bool // none may wait for a first request any more
+	all   map[*seat]bool
+	going int // seats whose places are taken and whose connections still close
 }
 
 // sit takes a place, if need be that of the connection that is worth least.
@@ -58,6 +65,9 @@
 	s.mu.Lock()
 	delete(s.all, x)
 	taken := x.taken
+	if taken {
+		s.going--
+	}
 	s.mu.Unlock()
 	x.conn.Close()
 	if !taken {
@@ -65,9 +75,10 @@
 	}
 }
 
-// move notes what x stands for now. It returns false if x should rather be closed: its
-// place is taken, or it rests while the program winds down.
-func (s *seats) move(x *seat, to standing, job bool) bool {
+// move notes what x stands for now, and until when, in milliseconds from now, what comes next must have come.
+// It returns false if x should rather be closed: its place is taken, or it comes to rest or waits for a first
+// request when the program no longer lets it.
+func (s *seats) move(x *seat, to standing, job bool, within float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if to != reading || x.job {
@@ -78,10 +89,27 @@
 	if to == resting && x.job {
 		s.spare()
 	}
-	return !x.taken && (to != resting || !s.closing)
+	// The deadline is set under the lock, or it could undo a waking.
+	return !x.taken && !(to == resting && (s.winds || x.ended)) && !(to == fresh && s.shut) &&
+		x.conn.SetReadDeadline(s.clock.Deadline(within)) == nil
+}
+
+// close notes that nothing more is taken from x, and says whether there is time to close it gently: a place
+// that is taken soon makes one connection too many, and there may be only so many of them.
+func (s *seats) close(x *seat) (gently bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x.state = closing
+	return !x.taken || s.going <= overMost
+}
+
+// end has the owner of x close it, unless a request has come by then.
+func (x *seat) end() {
+	x.ended = true
+	x.conn.Wake()
 }
 
-// spare closes the connection that has rested longest between jobs, if too many do. Clients
+// spare ends the connection that has rested longest between jobs, if too many do. Clients
 // may only hold so many, and some never use theirs again; left open, those leave none for the
 // requests that wait there. A closing that crosses a request costs the client a new connection.
 func (s *seats) spare() {
@@ -95,8 +123,7 @@
 		}
 	}
 	if n > s.rests {
-		oldest.ended = true
-		oldest.conn.Close()
+		oldest.end()
 		s.counts.Spared.Add(1)
 	}
 }
@@ -107,7 +134,7 @@
 // connection between them by right, so it goes last.
 func (x *seat) worth() int {
 	switch {
-	case x.state == resting && !x.job:
+	case (x.state == resting || x.state == closing) && !x.job:
 		return 1
 	case !x.job && (x.state == fresh || x.state == reading):
 		return 2
@@ -117,7 +144,7 @@
 	return 0
 }
 
-// evict closes the connection that is worth least, among equals the one that has stood so
+// evict ends the connection that is worth least, among equals the one that has stood so
 // for longest, and keeps its place in the budget.
 func (s *seats) evict() bool {
 	s.mu.Lock()
@@ -133,32 +160,38 @@
 		return false
 	}
 	least.taken = true
+	s.going++
 	s.counts.Evicted.Add(1)
-	least.conn.Close()
+	if s.going > 2*overMost {
+		least.conn.Close() // too many that close slowly: descriptors come first
+		return true
+	}
+	least.conn.Wake()
 	return true
 }
 
-// busy is how many requests are being read, served or answered.
+// busy is how many requests are being read, served or answered, and how many connections close.
 func (s *seats) busy() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
 	for x := range s.all {
-		if x.state == reading || x.state == serving {
+		if x.state == reading || x.state == serving || x.state == closing || x.state == fresh && s.shut {
 			n++
 		}
 	}
 	return n
 }
 
-// wind closes what rests, and makes move say so of each further one that comes to rest.
-func (s *seats) wind() {
+// wind ends what rests, and makes move say so of each further one that comes to rest; at last also what waits
+// for a first request.
+func (s *seats) wind(last bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closing = true
+	s.winds, s.shut = true, s.shut || last
 	for x := range s.all {
-		if x.state == resting {
-			x.conn.Close()
+		if x.state == resting || x.state == fresh && s.shut {
+			x.end()
 		}
 	}
 }
@@ -167,7 +200,14 @@
 func (s *seats) winding() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.closing
+	return s.winds
+}
+
+// parting says whether x should close once what has come on it is answered.
+func (s *seats) parting(x *seat) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.winds || x.ended || x.taken
 }
 
 // closeAll closes every connection.
--- a/internal/net/target/pool.go
+++ b/internal/net/target/pool.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -37,23 +39,23 @@
 // closing ends as a reset, after which a purchase may not leave its pod.
 const retireShare = 0.5
 
+// restLeast is how long a connection rests at least, in milliseconds, before it carries the next request. A target, or
+// what stands before it, may send a second answer some milliseconds after the first; read as the answer to the
+// next request it would say of that one what is not so, even that it never ran.
+const restLeast = 20.0
+
 // fresh is the rest of a connection that has carried nothing yet.
 const fresh = -1.0
 
-// take returns a connection to the target, an idle one if there is one that still stands,
+// take returns a connection to the target, an idle one if there is one that has rested and still stands,
 // and how long it has rested.
 func (t *Transport) take(tg *target, address string) (c *httpio.Conn, rested float64, err error) {
 	t.retire(tg, t.rests.limit(t.IdleFor*retireShare))
 	for {
-		tg.pool.mu.Lock()
-		n := len(tg.pool.idle)
-		if n == 0 {
-			tg.pool.mu.Unlock()
+		x, ok := tg.pool.last(t.Clock.Now() - restLeast)
+		if !ok {
 			break
 		}
-		x := tg.pool.idle[n-1]
-		tg.pool.idle = tg.pool.idle[:n-1]
-		tg.pool.mu.Unlock()
 		if stands(x.conn) {
 			t.Counts.Reused.Add(1)
 			return x.conn, max(0, t.Clock.Now()-x.since), nil
@@ -73,18 +75,34 @@
 	return t.Stack.Wrap(nc), fresh, nil
 }
 
-// settle puts a connection back after an answer, unless the target closes it.
-func (t *Transport) settle(tg *target, c *httpio.Conn, last bool) {
-	if last {
+// last takes out the connection that came last of those that have rested since a time.
+func (p *pool) last(since float64) (idle, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if x := p.idle[i]; x.since <= since {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return x, true
+		}
+	}
+	return idle{}, false
+}
+
+// settle reads what is left of an answer and puts its connection back.
+func (t *Transport) settle(tg *target, c *httpio.Conn, resp *http.Response) {
+	rest, err := c.ReadRest(resp, t.Clock.Deadline(bodyFor))
+	if err != nil {
 		t.discard(c)
 		return
 	}
-	t.put(tg, c)
+	rest.Release()
+	t.put(tg, c, resp.Close)
 }
 
-func (t *Transport) put(tg *target, c *httpio.Conn) {
+// put puts a connection back, unless the target closes it or has sent more than it was asked for.
+func (t *Transport) put(tg *target, c *httpio.Conn, last bool) {
 	// A deadline of the last exchange that passes meanwhile would make the connection look dead.
-	if c.SetDeadline(time.Time{}) != nil {
+	if last || c.Ahead() || c.SetDeadline(time.Time{}) != nil {
 		t.discard(c)
 		return
 	}
--- a/internal/net/target/target.go
+++ b/internal/net/target/target.go
@@ -48,6 +48,8 @@
 	partFor   = 250.0 // for a target to end a connection that we have ended
 	settle    = 10.0  // from closing one all the same until the target may be taken to know
 	lateFor   = 200.0 // for a 202 that comes after its attempt is over
+	bodyFor   = 200.0 // for the body of an answer, which nobody needs
+	goneMost  = 1024  // targets that have left the list and are remembered, so that they can be told of jobs given up
 )
 
 // Transport implements core.Transport on the platform's protocol.
@@ -59,6 +61,7 @@
 
 	mu      sync.Mutex
 	targets map[string]*target
+	gone    []string // names of targets that have left the list, the first to leave first
 	running map[core.Ref]*attempt
 }
 
@@ -70,6 +73,7 @@
 	name, address string
 	started       float64
 	closed        atomic.Bool
+	gone          bool // it has left the list
 	pool          pool
 }
 
@@ -106,6 +110,11 @@
 			t.retire(tg, 0)
 		}
 		tg.closed.Store(x.State != balance.Ready)
+		if x.State == balance.Gone {
+			t.leave(tg)
+		} else {
+			tg.gone = false
+		}
 	}
 	if g.Scope == balance.Changes {
 		return
@@ -114,10 +123,28 @@
 		if !seen[name] {
 			tg.closed.Store(true)
 			t.retire(tg, 0)
+			t.leave(tg)
 		}
 	}
 }
 
+// leave notes that a target has left the list. It may still have jobs of ours; of those that left long ago only so
+// many are remembered.
+func (t *Transport) leave(tg *target) {
+	if tg.gone {
+		return
+	}
+	tg.gone = true
+	t.gone = append(t.gone, tg.name)
+	for len(t.gone) > goneMost {
+		if old := t.targets[t.gone[0]]; old != nil && old.gone {
+			t.retire(old, 0)
+			delete(t.targets, old.name)
+		}
+		t.gone = t.gone[1:]
+	}
+}
+
 func (t *Transport) target(name string) (*target, string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -210,9 +237,10 @@
 			t.Log.Debug("connect", "target", a.Target, "cause", err)
 			return httpio.NotConnected, none
 		}
-		// While the connection came up, the target may have begun to drain, or the attempt was given up.
-		if tg.closed.Load() || !a.enter(writing, c) {
-			t.put(tg, c)
+		// While the connection came up, the target may have begun to drain, the attempt was given up, or the
+		// time is over in which the request may be repeated.
+		if tg.closed.Load() || a.Latest > 0 && t.Clock.Now() > a.Latest || !a.enter(writing, c) {
+			t.put(tg, c, false)
 			return httpio.NotBegun, none
 		}
 		buf := c.Buffer()
@@ -239,29 +267,40 @@
 			}
 			return httpio.BrokenBefore, none
 		}
-		resp, rb, err := c.ReadResponse(a.Job.Method, t.Clock.Deadline(a.Deadline-t.Clock.Now()+lateFor))
+		resp, err := c.ReadHead(a.Job.Method, t.Clock.Deadline(a.Deadline-t.Clock.Now()+lateFor))
 		// From here on nobody may close the connection for this attempt's sake: it goes back to the
 		// pool, and the next request on it would break.
 		if !a.enter(over, nil) {
 			t.discard(c)
 			if err == nil {
-				rb.Release()
 				a.back, a.report = t.answered(a, resp), httpio.ParseLoad(resp.Header.Get("X-Pressure"))
 			}
 			return "", none // giveUp tells of it
 		}
-		if err != nil {
+		switch {
+		case httpio.TimedOut(err):
+			t.discard(c)
+			return httpio.Silence, none
+		case errors.Is(err, httpio.ErrMalformed), errors.Is(err, httpio.ErrTooLarge):
+			// What came is no answer. The end of the connection gives the attempt up; the target has to have seen
+			// that before a further attempt, or it would be a second copy.
+			t.Log.Debug("spoilt answer", "target", a.Target, "id", a.ID, "cause", err)
+			t.discard(c)
+			t.wait(settle)
+			return httpio.BrokenAfter, none
+		case err != nil:
 			t.discard(c)
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() {
-				return httpio.Silence, none
-			}
 			t.noteRest(rested, true)
 			return httpio.BrokenAfter, none
 		}
-		rb.Release()
 		t.noteRest(rested, false)
-		t.settle(tg, c, resp.Close)
+		// The head says what became of the attempt. Its body may break off or never end, and must not change or
+		// delay that.
+		if c.RestIsHere(resp) {
+			t.settle(tg, c, resp)
+		} else {
+			go t.settle(tg, c, resp)
+		}
 		return t.answered(a, resp), httpio.ParseLoad(resp.Header.Get("X-Pressure"))
 	}
 }
@@ -297,7 +336,7 @@
 	if at != nil {
 		at.mu.Lock()
 		was, c := at.stage, at.conn
-		if was == waiting || was == writing {
+		if was == waiting || was == writing && !a.Unsent {
 			at.stage = quit
 		}
 		at.mu.Unlock()
@@ -306,6 +345,9 @@
 			t.end(a.Ref, httpio.GivenUp, balance.Report{})
 			return
 		case writing:
+			if a.Unsent {
+				return
+			}
 			back, rep := t.part(at, c)
 			if back != "" {
 				t.end(a.Ref, back, rep)
@@ -313,6 +355,9 @@
 			}
 		}
 	}
+	if a.Unsent {
+		return
+	}
 	t.Counts.Deletes.Add(1)
 	for range deletes {
 		if t.delete(a) {
@@ -329,7 +374,7 @@
 func (t *Transport) delete(a core.Attempt) bool {
 	tg, address := t.target(a.Target)
 	if tg == nil {
-		return true
+		return false // it left long ago, and cannot be told
 	}
 	status, _, _, err := t.call(tg, address, "DELETE", "/jobs/"+a.ID, giveUpFor)
 	if err != nil {
@@ -414,13 +459,18 @@
 		t.discard(c)
 		return 0, nil, "", fmt.Errorf("%s %s: %w", method, path, err)
 	}
-	resp, body, err := c.ReadResponse(method, by)
+	resp, err := c.ReadHead(method, by)
+	if err != nil {
+		t.discard(c)
+		return 0, nil, "", fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	body, err := c.ReadRest(resp, by)
 	if err != nil {
 		t.discard(c)
 		return 0, nil, "", fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	defer body.Release()
-	t.settle(tg, c, resp.Close)
+	t.put(tg, c, resp.Close)
 	return resp.StatusCode, flat(body), resp.Header.Get("X-Pressure"), nil
 }
 
--- a/internal/net/target/target_test.go
+++ b/internal/net/target/target_test.go
@@ -71,6 +71,7 @@
 	_, err := io.WriteString(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
 	require.NoError(b.t, err)
 	b.idle(1)
+	b.clock.Advance(restLeast)
 }
 
 func (b *bench) idle(n int) {
@@ -155,6 +156,8 @@
 	_, err = io.WriteString(d, "HTTP/1.1 204 No Content\r\n\r\n")
 	require.NoError(t, err)
 	require.Equal(t, balance.Cancelled, (<-b.sink.ended).Result)
+	b.idle(1)
+	b.clock.Advance(restLeast)
 
 	a = b.start(1)
 	_, _ = b.serve(d)
