--- a/cmd/cottonwell/exchange_test.go
+++ b/cmd/cottonwell/exchange_test.go
@@ -70,18 +70,24 @@
 	return ln
 }
 
-func loadTestConfig(t *testing.T, discovery, targets string) *config.Config {
+// loadTestConfig reads the tests' configuration with changes made to its text: what stands there, and what instead.
+func loadTestConfig(t *testing.T, discovery, targets string, changes ...[2]string) *config.Config {
 	t.Helper()
 	data, err := os.ReadFile("testdata/config.json")
 	require.NoError(t, err)
-	text := strings.NewReplacer("DISCOVERY", discovery, "TARGETS", targets).Replace(string(data))
+	text := string(data)
+	for _, c := range changes {
+		require.Contains(t, text, c[0])
+		text = strings.ReplaceAll(text, c[0], c[1])
+	}
+	text = strings.NewReplacer("DISCOVERY", discovery, "TARGETS", targets).Replace(text)
 	cfg, err := config.Parse([]byte(text))
 	require.NoError(t, err)
 	return cfg
 }
 
 // startProgram starts the scheduler. Scripts about Gearman know no HTTP target.
-func startProgram(t *testing.T, withGearman bool) *program {
+func startProgram(t *testing.T, withGearman bool, changes ...[2]string) *program {
 	p := &program{t: t, clock: clock.NewManual(1.7e12), conns: map[string]net.Conn{}, lns: map[string]net.Listener{},
 		names: map[string]string{}, done: make(chan struct{}),
 		hup: make(chan os.Signal), file: filepath.Join(t.TempDir(), "config.json")}
@@ -98,7 +104,7 @@
 	if withGearman {
 		entry = ""
 	}
-	cfg := loadTestConfig(t, p.names["discovery"], entry)
+	cfg := loadTestConfig(t, p.names["discovery"], entry, changes...)
 	var err error
 	if withGearman {
 		op, err = config.LoadOperator("testdata/operator.toml", &cfg.Settings)
@@ -163,8 +169,20 @@
 	return out
 }
 
+// changes are those that a script has made to the configuration: lines 'with TEXT => TEXT'.
+func changes(script string) (out [][2]string) {
+	for line := range strings.Lines(script) {
+		if text, ok := strings.CutPrefix(line, "with "); ok {
+			old, instead, _ := strings.Cut(strings.TrimSuffix(text, "\n"), " => ")
+			out = append(out, [2]string{old, instead})
+		}
+	}
+	return out
+}
+
 // play plays a script. Each line is NAME VERB TEXT:
 //
+//	with TEXT => TEXT                 the configuration is changed before the start
 //	connect, accept, close, end, reset, eof   for a connection; 'connect gearman' for the second front
 //	> TEXT, < TEXT                    a line is sent, or expected
 //	>. TEXT, <. TEXT                  the same without the line's end
@@ -172,6 +190,7 @@
 //	clock +MS                         time passes
 //	hup ADDRESS                       SIGHUP, after the file names that discovery; 'bad' breaks the file
 //	wind now, wound now               SIGTERM; wait until connections are no longer kept
+//	ready yes, ready no, heard now    whether clients are let in; wait until they are, as discovery was heard
 //	books NAME N                      wait until that count of the core is N
 func (p *program) play(script string) {
 	t := p.t
@@ -191,7 +210,7 @@
 		for name, v := range p.names {
 			line = strings.ReplaceAll(line, "{"+name+"}", v)
 		}
-		if line == "" || strings.HasPrefix(line, "#") {
+		if line == "" || strings.HasPrefix(line, "#") || strings.HasPrefix(line, "with ") {
 			continue
 		}
 		name, rest, _ := strings.Cut(line, " ")
@@ -261,8 +280,13 @@
 					b := p.sched.core.Books()
 					return map[string]int{"taken": b.Taken, "left": b.Left, "served": b.Served, "refused": b.Refused, "failed": b.Failed,
 						"sends": b.Sends, "targets": b.Targets, "late": b.Dropped["news of an attempt that is over"], "open": b.Open,
-						"waiting": p.sched.targets.Waiting()}[verb] == n
+						"waiting": p.sched.targets.Waiting(), "lists": b.Lists}[verb] == n
 				})
+			case "ready": // clients are let in, or not yet
+				require.Equal(t, verb == "yes", p.sched.listener.Ready())
+			case "heard": // until something has come of discovery
+				<-p.sched.watch.Heard()
+				p.until("ready", p.sched.listener.Ready)
 			case "hup": // the file is replaced by one that names this discovery; "bad" is none
 				data, err := os.ReadFile("testdata/config.json")
 				require.NoError(t, err)
@@ -301,7 +325,7 @@
 			t.Parallel()
 			data, err := os.ReadFile(f)
 			require.NoError(t, err)
-			startProgram(t, strings.HasPrefix(name, "gearman")).play(string(data))
+			startProgram(t, strings.HasPrefix(name, "gearman"), changes(string(data))...).play(string(data))
 		})
 	}
 }
