Look for a request that came in the moment a connection is ended, and serve it

Seen by reading: at the end of a wait, package net tells of the deadline without looking at the socket, so a connection that was told to end (wind-down, a place that goes to another, rest over, a connection accepted as the program ends) was half-closed over a request that had been there for as long as the program was late to read it (listener.serve, rest). Of a starved scheduler that is many milliseconds. To blame: serve's Await, rest and the first move, none of which looked. Now httpio.Conn.Look reads what has come without waiting; it replaces the pool's own raw read. A place that is taken answers 503, where it answered 408 (failed) before.

A client that left as its request was written to a connection that the target had closed was forgotten, and the request went out on a fresh connection (attempt.enter); not any more. A program told to end while it waits for its first list does not say ready.

Three tests raced on a busy machine: one moved a seat that its own goroutine had not yet taken up, one discovery stand-in sent no empty lines and forgot its drains, dials went by the machine's clock.

--- a/cmd/cottonwell/exchange_test.go
+++ b/cmd/cottonwell/exchange_test.go
@@ -114,6 +114,7 @@
 	}
 	p.sched, err = assemble(cfg, op, p.clock, slog.New(slog.NewTextHandler(&p.logs, &slog.HandlerOptions{Level: slog.LevelDebug})))
 	require.NoError(t, err)
+	p.sched.targets.DialFor = clock.Millis(wait) // this one goes by the machine's clock, and must not decide by its speed
 	ln := listenLoopback(t)
 	p.listen = ln.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/cottonwell/rules_test.go
+++ b/cmd/cottonwell/rules_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -308,18 +309,33 @@
 			name, strings.TrimPrefix(s.URL, "http://"), pod))
 	}
 	drain := make(chan []int) // entries that are told to drain
+	var mu sync.Mutex         // over now and index: what holds outlives a watch, and watches may follow one another
+	now, index := slices.Clone(entries), 41
+	list := func(snapshot bool, which []string) string {
+		return fmt.Sprintf("{\"index\":%d,\"snapshot\":%v,\"endpoints\":[%s]}\n", index, snapshot, strings.Join(which, ","))
+	}
 	disc := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		fmt.Fprintf(w, "{\"index\":41,\"snapshot\":true,\"endpoints\":[%s]}\n", strings.Join(entries, ","))
-		w.(http.Flusher).Flush()
-		for index := 42; ; index++ {
-			var told []string
+		mu.Lock()
+		text := list(true, now)
+		mu.Unlock()
+		alive := time.NewTicker(2 * time.Second)
+		defer alive.Stop()
+		for {
+			fmt.Fprint(w, text)
+			w.(http.Flusher).Flush()
 			select {
 			case which := <-drain:
+				var told []string
+				mu.Lock()
 				for _, i := range which {
-					told = append(told, strings.Replace(entries[i], "SERVING", "DRAINING", 1))
+					now[i] = strings.Replace(now[i], "SERVING", "DRAINING", 1)
+					told = append(told, now[i])
 				}
-				fmt.Fprintf(w, "{\"index\":%d,\"snapshot\":false,\"endpoints\":[%s]}\n", index, strings.Join(told, ","))
-				w.(http.Flusher).Flush()
+				index++
+				text = list(false, told)
+				mu.Unlock()
+			case <-alive.C: // an empty line while nothing changes, as the protocol has it
+				text = "\n"
 			case <-req.Context().Done():
 				return
 			}
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -258,7 +258,7 @@
 	if s.pushed {
 		s.await(ctx, s.watch.Heard(), firstFor) // or the first requests might go to targets that drain
 	}
-	s.listener.SetReady(true)
+	s.listener.SetReady(ctx.Err() == nil)
 	<-ctx.Done()
 	s.log.Info("winding down")
 	s.listener.SetReady(false)
--- a/internal/net/httpio/httpio.go
+++ b/internal/net/httpio/httpio.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"cottonwell/internal/buffer"
@@ -61,6 +62,55 @@
 // Ahead says whether bytes that nobody has taken yet were read from the connection.
 func (c *Conn) Ahead() bool { return c.br.Buffered() > 0 }
 
+// Look says whether a byte has come that nobody has taken, or what ended the connection. It does not wait, and
+// passes over the read deadline, which is then gone: at the end of a wait a deadline hides what came in that moment.
+func (c *Conn) Look() (come bool, err error) {
+	if c.Ahead() {
+		return true, nil
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		return false, err
+	}
+	c.limit = io.LimitedReader{R: nowait{c.Conn}, N: maxOnTheAir}
+	defer func() { c.limit.R = c.Conn }()
+	if _, err = c.br.Peek(1); errors.Is(err, errNothing) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+var errNothing = errors.New("nothing has come")
+
+// nowait reads what has come on a connection, or says that there is nothing.
+type nowait struct{ net.Conn }
+
+func (c nowait) Read(b []byte) (n int, err error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, errNothing
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	if err := raw.Read(func(fd uintptr) bool {
+		n, failed = syscall.Read(int(fd), b)
+		return true
+	}); err != nil {
+		return 0, err
+	}
+	switch {
+	case errors.Is(failed, syscall.EAGAIN), errors.Is(failed, syscall.EWOULDBLOCK), errors.Is(failed, syscall.EINTR):
+		return 0, errNothing
+	case failed != nil:
+		return 0, failed
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // Watch reads ahead while a request is in work, so that it is seen when the other side goes, also behind
 // whatever it has sent ahead. It returns nil once it is woken or the read deadline has passed, else what ended
 // the connection. What does not fit the buffer is dropped, as nobody may send so much ahead: flooded says so,
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -155,24 +155,30 @@
 	c := x.conn
 	// A new connection may have its first request on the way, so it is not closed unread while
 	// the program winds down, but a silent one must not hold its place.
-	if !l.seats.move(x, fresh, false, readFor) {
+	if !l.seats.move(x, fresh, false, readFor) && !come(c) {
 		l.part(x)
 		return
 	}
 	begun := l.Clock.Now()
 	for ctx.Err() == nil {
 		if err := c.Await(); err != nil {
-			if httpio.TimedOut(err) { // nothing came in time, or the connection was told to end
+			if !httpio.TimedOut(err) {
+				return
+			}
+			// Nothing came in time, or the connection was told to end; but a request may have come in that moment.
+			if !come(c) {
 				l.part(x)
+				return
 			}
-			return
 		}
 		within := readFor
 		if begun > 0 {
 			within, begun = readFor-(l.Clock.Now()-begun), 0
 		}
-		if !l.seats.move(x, reading, false, within) {
-			c.Wake() // its place is taken, and what has come is refused unread
+		if !l.seats.move(x, reading, false, within) { // its place is taken, and what has come is refused unread
+			l.reply(c, noPlace())
+			l.part(x)
+			return
 		}
 		req, body, err := c.ReadRequest(l.Clock.Deadline(writeFor))
 		if err != nil {
@@ -200,13 +206,20 @@
 	if job || x.job {
 		idle = idleFor
 	}
-	if l.seats.move(x, resting, job, idle) || x.conn.Ahead() {
+	if l.seats.move(x, resting, job, idle) || come(x.conn) {
 		return true
 	}
 	l.part(x)
 	return false
 }
 
+// come says whether something has come on a connection that is about to be closed. It is served then, or refused:
+// its sender may have sent it long before, and only the program was late to read it.
+func come(c *httpio.Conn) bool {
+	here, _ := c.Look()
+	return here
+}
+
 // part closes a connection of which nothing more is taken.
 func (l *Listener) part(x *seat) {
 	if l.seats.close(x) {
--- a/internal/net/listener/listener_test.go
+++ b/internal/net/listener/listener_test.go
@@ -51,12 +51,7 @@
 func TestFullHouseTakesThePlaceThatIsWorthLeast(t *testing.T) {
 	clk := clock.NewManual(1e6)
 	l, dial := start(t, clk, 2)
-	ask := func(c net.Conn) {
-		_, err := io.WriteString(c, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
-		require.NoError(t, err)
-		_, err = io.ReadFull(c, make([]byte, len("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nready\n")))
-		require.NoError(t, err)
-	}
+	asks := func(c net.Conn) { require.NoError(t, talk(c, ask, ready)) }
 	gone := func(c net.Conn) {
 		_, err := c.Read(make([]byte, 1))
 		require.ErrorIs(t, err, io.EOF)
@@ -65,15 +60,15 @@
 	require.Eventually(t, func() bool { return l.taken() == 1 }, 10*time.Second, time.Millisecond)
 	clk.Advance(1)
 	asked := dial()
-	ask(asked)
+	asks(asked)
 	require.Eventually(t, func() bool { return l.resting() == 1 }, 10*time.Second, time.Millisecond)
 	clk.Advance(1)
 	third := dial()
 	gone(asked)
 	fourth := dial()
 	gone(silent)
-	ask(third)
-	ask(fourth)
+	asks(third)
+	asks(fourth)
 	require.EqualValues(t, 2, l.Counts.Evicted.Load())
 	require.Zero(t, l.Counts.TurnedOff.Load())
 }
@@ -86,7 +81,9 @@
 	conns := make([]net.Conn, 7)
 	for i := range conns {
 		conns[i] = dial()
-		require.Eventually(t, func() bool { return l.taken() == min(i, 5)+1 }, 10*time.Second, time.Millisecond)
+		// Its own goroutine has to have come to rest with it, or it would undo what is moved here.
+		require.NoError(t, talk(conns[i], ask, ready))
+		require.Eventually(t, func() bool { return l.resting() == min(i, 5)+1 }, 10*time.Second, time.Millisecond)
 		clk.Advance(1)
 		l.seats.mu.Lock()
 		var x *seat
--- a/internal/net/target/pool.go
+++ b/internal/net/target/pool.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"cottonwell/balance"
@@ -153,22 +152,8 @@
 // stands looks, without waiting, whether the other side has closed an idle connection or
 // sent something that nobody asked for. Either way it is of no use.
 func stands(c *httpio.Conn) bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		alive = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
-		return true
-	})
-	return alive && err == nil
+	come, err := c.Look()
+	return !come && err == nil
 }
 
 // parseBody reads a load report from a probe's answer: the body, as name=value pairs or
--- a/internal/net/target/target.go
+++ b/internal/net/target/target.go
@@ -171,17 +171,18 @@
 	mu    sync.Mutex
 	stage stage
 	conn  *httpio.Conn
+	left  bool // its client has left: it may not begin any more
 
 	read   chan struct{}   // closed once nothing more is read for it
 	back   httpio.Exchange // what came after it was given up, good after read
 	report balance.Report
 }
 
-// enter moves to a later stage, unless the attempt was given up.
+// enter moves to another stage, unless the attempt was given up.
 func (a *attempt) enter(s stage, c *httpio.Conn) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.stage == quit {
+	if a.stage == quit || a.left && s < over {
 		return false
 	}
 	a.stage, a.conn = s, c
@@ -339,6 +340,7 @@
 		if was == waiting || was == writing && !a.Unsent {
 			at.stage = quit
 		}
+		at.left = at.left || a.Unsent
 		at.mu.Unlock()
 		switch was {
 		case waiting:
--- a/internal/net/target/target_test.go
+++ b/internal/net/target/target_test.go
@@ -255,3 +255,20 @@
 	play(noise, 1, 300, 8, 3)
 	require.Equal(t, 15e3, noise.limit(15e3), "all ages break alike")
 }
+
+// A client leaves as its request is being written to a connection that the target had closed while it stood idle. The
+// request would go out on a fresh connection, some time later: not any more. Before, only its wait for the first
+// connection was looked at.
+func TestClientLeavesBetweenTwoConnections(t *testing.T) {
+	b := newBench(t)
+	a := core.Attempt{Ref: core.Ref{Flow: 1}, Target: "t", Unsent: true}
+	at := &attempt{Attempt: a}
+	require.True(t, at.enter(writing, nil))
+	b.giveUp(a, at)
+	require.False(t, at.enter(waiting, nil), "it would wait for another connection")
+	at = &attempt{Attempt: a}
+	require.True(t, at.enter(writing, nil))
+	b.giveUp(a, at)
+	require.True(t, at.enter(over, nil), "what has gone out is answered, and its connection kept")
+	require.Empty(t, b.sink.ended)
+}
