Play the mixed loopback test with aims that a stalled machine does not miss

By the debug log the module had answered jobs without hope after some 60 to 150 ms of stall, with their attempt out; the second submission of a Gearman job then began a flow of its own, and the checker took the two for one.

--- a/cmd/cottonwell/rules_test.go
+++ b/cmd/cottonwell/rules_test.go
@@ -347,6 +347,11 @@
 	// Withdrawals hang on the machine's speed, and what a target knows of one on when it reads;
 	// the tests of the core and of the transport hold them, with set clocks.
 	cfg.Settings.Cancel = false
+	for i := range cfg.Settings.Classes {
+		// A job without hope is answered early. Were that a matter of 150 ms, a machine that stalls would end jobs
+		// before their second submission comes.
+		cfg.Settings.Classes[i].Aim = wait
+	}
 	op, err := config.LoadOperator("testdata/operator.toml", &cfg.Settings)
 	require.NoError(t, err)
 	log := io.Writer(io.Discard)
