Ask a silent agent again within 0.1 s where lists are pushed

Ruled out: the time for an answer (a call that is out loses nothing). To blame: Balancer.list waits up to a quarter of ask-within (2.5 s there) after failures, a bound that is for a shared discovery; config.Parse kept it for an agent.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -373,6 +373,25 @@
 	}
 }
 
+// Where asking is bounded by no time, as an agent on this machine costs nothing to ask, it is asked again soon however
+// often it was silent: what it has counts from the moment of its return.
+func TestAsksAnAgentAgainSoon(t *testing.T) {
+	s := base()
+	s.Subscribe, s.AskWithin = true, 0
+	b, err := New(s, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Step(time.Hour, &Event{Kind: Listed, List: FromDisk}, nil)
+	for n := range 9 {
+		w := find(b.Step(time.Hour, &Event{Kind: Listed, List: AskFailed}, nil), Wake)
+		if w == nil || w.After <= 0 || w.After > time.Second/10 {
+			t.Fatalf("failure %d: asked again %+v", n+1, w)
+		}
+		b.Step(time.Hour, &Event{Kind: TimerDue, Timer: w.Timer}, nil)
+	}
+}
+
 // A worker that drains gets nothing more at once; one that a complete list lacks is gone.
 func TestDrainLeavesTheRing(t *testing.T) {
 	h := start(t, base(), fleet(3)...)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -108,6 +108,11 @@
 	}
 	// On sockets lists always come on a watch that has to be opened; the settings say only whose it is.
 	c.Pushed, c.Settings.Subscribe = !c.Settings.Subscribe, true
+	if c.Pushed {
+		// The agent is on this machine and costs nothing to ask. It holds calls while it is silent and answers them at
+		// its return, when what it has counts at once; so the less time there is between two calls, the better.
+		c.Settings.AskWithin = 0
+	}
 	return c, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -39,6 +39,7 @@
 	c, err := Parse([]byte(strings.NewReplacer("TARGETS", "", `"registry-mode":"subscribe"`, `"registry-mode":"automatic"`).Replace(string(data))))
 	require.NoError(t, err)
 	require.True(t, c.Pushed && c.Settings.Subscribe)
+	require.Zero(t, c.Settings.AskWithin, "between two calls to the agent lies the shortest wait that there is")
 }
 
 func TestFlatten(t *testing.T) {
