--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -297,3 +297,22 @@
 	require.Equal(t, 70.0, b.core.comeBack(b.core.byID["x"].number))
 	require.Equal(t, 1000.0, b.core.comeBack(999))
 }
+
+// The program gives its last answers; a request that was read just before comes in after them. Nobody would be left to
+// answer it, so it is refused at once and goes nowhere.
+func TestWhatComesAfterTheLastAnswersIsRefused(t *testing.T) {
+	b := newBench(t, 1)
+	b.take("x", "k")
+	b.take("y", "c")
+	sent := len(b.started)
+	b.do(finishAll{})
+	require.Len(t, b.answers, 2)
+	require.Contains(t, b.answers, Answer{Kind: Failed}, "it may have run")
+	b.take("z", "c")
+	require.Equal(t, Answer{Kind: Refused, RetryAfter: 1000}, b.answers[2])
+	require.Len(t, b.started, sent)
+	b.do(ended{Outcome{Ref: b.started[0].Ref, Result: balance.Full}})
+	b.pass(6000)
+	require.Len(t, b.answers, 3, "one answer each")
+	require.Len(t, b.started, sent, "and nothing goes out any more")
+}
--- a/internal/net/target/target_test.go
+++ b/internal/net/target/target_test.go
@@ -272,3 +272,17 @@
 	require.True(t, at.enter(over, nil), "what has gone out is answered, and its connection kept")
 	require.Empty(t, b.sink.ended)
 }
+
+// A connection comes up so late that the request may not be repeated any more, or so late that its target drains: it is
+// not sent, and the target never sees a byte of it.
+func TestTooLateAsTheConnectionIsUp(t *testing.T) {
+	b := newBench(t)
+	b.Start(core.Attempt{Ref: core.Ref{Flow: 1}, ID: "id", Target: "t", Job: core.Job{Method: "POST", Path: "/c"}, Deadline: 1e6 + 1000, Latest: 1e6 - 1})
+	require.Equal(t, balance.NeverSent, (<-b.sink.ended).Result)
+	c, err := b.ln.Accept()
+	require.NoError(t, err)
+	b.idle(1) // the connection is kept for others
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+	n, _ := c.Read(make([]byte, 1))
+	require.Zero(t, n)
+}
