Book a send that never began as never sent

To blame: send.go, one line; since for latest. Measured: the test fails without the line; core green.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -128,6 +129,27 @@
 	require.Equal(t, balance.NeverSent, b.core.steps[0].Result)
 }
 
+// A send whose time was over was never begun, so it is no reason to hold the flow back, nor to call it failed. Before, it
+// counted as served: a class that is unsafe to repeat was not sent any more, and at the end its client not told that to try
+// again is harmless.
+func TestASendThatNeverBeganHasNotRun(t *testing.T) {
+	b := newBench(t, 0)
+	b.core.classes["k"].Effect = balance.Unsafe
+	b.take("x", "k")
+	f := b.core.flows[1]
+	b.do(listed{"test", Group{Scope: balance.Changes, Targets: []Target{{Member: balance.Member{ID: "a", Zone: "a", Cell: "1"}}}}})
+	b.started, f.attempts, f.out = nil, nil, -1
+	b.clock.Advance(5001)
+	b.core.send(&balance.Action{Kind: balance.Send, Request: 1, Worker: "a"})
+	require.Empty(t, b.started, "its client's time is over")
+	require.Len(t, f.attempts, 1)
+	require.False(t, b.core.mayHaveRun(&f.attempts[0]))
+	require.True(t, math.IsInf(b.core.latest(f, 1), 1))
+	b.core.steps = nil
+	finishAll{}.apply(b.core)
+	require.Equal(t, []Answer{{Kind: Refused, RetryAfter: 1000}}, b.answers)
+}
+
 func invariantsPanic() (yes bool) {
 	defer func() { yes = recover() != nil }()
 	invariant.New().Check(false, "probe", "")
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -27,7 +27,7 @@
 		ok = c.inv.Check(false, "repeat-of-unsafe", "flow %d", f.number)
 	}
 	if !ok || now >= min(f.deadline, latest) {
-		f.attempts[n].ended = true
+		f.attempts[n].ended, f.attempts[n].result = true, balance.NeverSent
 		c.step(balance.Event{Kind: balance.Ended, Request: f.number, Attempt: n, Worker: a.Worker,
 			Result: balance.NeverSent, Final: f.answered})
 		return
