End at the end's moment, not after a wait that stands beside it

By its log no last answers were due; the loop of serve.run was in its 20 ms wait, which does not hear the end, and where several channels are ready Go picks any of them, so it may wait again and again; 60 ms are kept before SIGKILL. To blame: s.sleep(20) in that loop. The wait is now one of the cases.

--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -273,7 +273,8 @@
 	if s.gearman != nil {
 		s.gearman.Wind() // or clients that stay on their connections would keep the program from its end
 	}
-	last, end := s.clock.NewAlarm(), s.clock.NewAlarm()
+	last, end, again := s.clock.NewAlarm(), s.clock.NewAlarm(), s.clock.NewAlarm()
+	defer again.Stop()
 	defer last.Stop()
 	defer end.Stop()
 	last.Set(begin + max(graceFor, s.killAt-lastFor))
@@ -288,6 +289,8 @@
 			s.core.Finish() // what SIGKILL finds unanswered is lost
 			s.listener.Shut()
 			shut = true
+		case <-again.C():
+			idle = s.core.Idle()
 		case <-idle:
 			if s.listener.Busy() == 0 {
 				if shut {
@@ -297,8 +300,8 @@
 				s.listener.Shut()
 				shut = true
 			}
-			s.sleep(20)
-			idle = s.core.Idle()
+			idle = nil // until the next round; the end is not kept waiting for it
+			again.Set(s.clock.Now() + 20)
 		}
 	}
 }
