Hold each target by a lease while discovery is silent, and spread calls that failed

Discovery takes 11 calls a second in turn and works on abandoned ones too; the fleet called some 45 times a second, as a failed call was repeated after 0.1 to 2.5 s, so each waited over 2 s and was thrown away. Excluded: the watch's time-outs (all calls ended with 503), lists read and not acted on. Lines: Balancer.list (backoff), and nothing that bounds how long a list is acted on.

Change: a failed call is repeated after 2 to 8 s; internal/freshness holds a lease of 5.5 s on each target, renewed by the watch or by a probe answered 200; core and transport look at it as an attempt begins.

--- a/balance/api.go
+++ b/balance/api.go
@@ -235,6 +235,7 @@
 	Priority int  // held requests of a higher one go first; 0 is the usual
 	List     ListScope
 	Members  []Member
+	Local    bool // Listed: this scheduler's own doing, not an answer of discovery
 	Timer    uint64
 	Who      int                // number of the dispatcher that speaks
 	Raw      string             // what it says, any bytes: for those who host the module
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -42,6 +42,8 @@
 	retryBurst  = 10.0
 	unsafeSpare = 0.3 // of a slot that an unsafe job may exceed what is taken for free
 	coldSafety  = 0.4 // share used of what a cold worker may be sent
+	askLeast    = 2.0 // seconds from a call for the list that failed to the next,
+	askSpread   = 6.0 // and up to that much more: discovery needs some seconds to answer all
 	tickTimer   = uint64(1) << 60
 	askTimer    = tickTimer + 1
 )
@@ -132,8 +134,8 @@
 	reqs                         map[uint64]*request
 	tells                        map[int]map[string]float64 // slots that each dispatcher has out, by worker
 	held                         []*request
-	gen, askFails                int
-	asking, ticking              bool
+	gen                          int
+	asking, answered, ticking    bool                     // answered: the last call for the list was
 	retries, paid                float64                  // own budget; further attempts that are paid for
 	extras                       []mark                   // further attempts of late, and what had paid
 	lines                        map[string]*line         // by key
@@ -252,9 +254,12 @@
 
 func (b *Balancer) list(now time.Duration, ev *Event) {
 	if ev.List == AskFailed {
-		b.asking, b.askFails = false, min(b.askFails+1, 5)
-		wait := seconds(0.1 * math.Pow(2, float64(b.askFails)) * (0.5 + b.rng.Float64()))
-		b.do(Action{Kind: Wake, Timer: askTimer, After: min(wait, max(time.Second/10, b.s.AskWithin/4))})
+		wait := seconds(askLeast + askSpread*b.rng.Float64()) // faster than answers come, all calls fail
+		if b.answered {
+			wait = seconds(0.1 + 0.2*b.rng.Float64()) // a watch broke
+		}
+		b.asking, b.answered = false, false
+		b.do(Action{Kind: Wake, Timer: askTimer, After: min(wait, max(time.Second/10, 2*b.s.AskWithin))})
 		return
 	}
 	b.gen++
@@ -268,10 +273,8 @@
 			}
 		}
 	}
-	if ev.List == FromDisk {
+	if b.answered = ev.List != FromDisk && (b.answered || !ev.Local); ev.List == FromDisk {
 		b.ask()
-	} else {
-		b.askFails = 0
 	}
 	b.place(now)
 }
@@ -420,10 +423,8 @@
 	for i := range r.attempts {
 		b.cancel(r, i)
 	}
-	if r.held {
-		r.held = false
-		b.held = slices.DeleteFunc(b.held, func(x *request) bool { return x == r })
-	}
+	r.held = false
+	b.held = slices.DeleteFunc(b.held, func(x *request) bool { return x == r })
 	b.forget(r)
 }
 
@@ -1007,8 +1008,7 @@
 	}
 	c, w := r.class, a.to
 	c.met += metShare * (1 - c.met)
-	run := (now - cmp.Or(a.startAt, a.sentAt+a.wait)).Seconds()
-	run = max(run, 0.1*(now-a.sentAt).Seconds(), 1e-4)
+	run := max((now - cmp.Or(a.startAt, a.sentAt+a.wait)).Seconds(), 0.1*(now-a.sentAt).Seconds(), 1e-4)
 	w.ran, w.expected = w.ran*forget+run, w.expected*forget+r.work
 	b.ran, b.expected = b.ran*paceForget+run, b.expected*paceForget+r.work
 	c.runs, c.work, c.hints = c.runs*usualForget+1, c.work*usualForget+run, c.hints*usualForget+r.hint
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -13,7 +13,9 @@
 type Books struct {
 	Taken, Served, Refused, Failed, Left int // flows, by how they ended
 	Twice, Full                          int // not admitted: id in use; too many open
-	Sends, Cancels, Probes               int
+	Sends, Cancels                       int
+	Probes, ProbesEnded                  int            // begun; ended, in whatever way
+	Withheld                             int            // targets that nothing new is sent to, as nothing confirms that they serve
 	Lists, ListFailures                  int            // lists and changes heard; watches that failed
 	Outcomes                             [8]int         // by balance.Result
 	Dropped                              map[string]int // late news, by what it was
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"cottonwell/balance"
 	"cottonwell/internal/clock"
 	"cottonwell/internal/decide"
+	"cottonwell/internal/freshness"
 	"cottonwell/internal/invariant"
 	"cottonwell/internal/room"
 )
@@ -36,6 +37,9 @@
 	// Asked counts a tenant's requests for whoever adds them up over the fleet, later tries of a client left
 	// out; nil where nobody does. It may not wait.
 	Asked func(tenant string)
+	// Freshness bounds how long a list is acted on while its source does not answer; nil: for ever. It holds for the
+	// source that has a Watch.
+	Freshness *freshness.Config
 	// Known is the list as it was held last, by source; the module learns it first.
 	Known map[string]Group
 }
@@ -67,6 +71,7 @@
 	// finished says that the program ends: nothing is taken in any more.
 	finished bool
 	ruling
+	leases
 }
 
 type source struct {
@@ -94,6 +99,9 @@
 	for _, s := range sources {
 		c.sources[s.Name] = &source{Source: s, members: map[string]Target{}}
 	}
+	if err := c.startLeases(cfg.Freshness); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
@@ -167,6 +175,7 @@
 	if e.group.Scope == balance.AskFailed {
 		c.books.ListFailures++
 		c.step(balance.Event{Kind: balance.Listed, List: balance.AskFailed})
+		c.listLost(s, e.group.LastSign)
 		return
 	}
 	c.books.Lists++
@@ -201,6 +210,7 @@
 	}
 	s.Transport.Listed(e.group)
 	c.step(ev)
+	c.listHeard(s, e.group.Scope)
 	if c.cfg.Listed != nil {
 		all := make([]Target, 0, len(c.targets))
 		for id, s := range c.targets {
@@ -228,8 +238,10 @@
 type probed struct{ r ProbeResult }
 
 func (e probed) apply(c *Core) {
+	c.books.ProbesEnded++
 	c.step(balance.Event{Kind: balance.Probed, Worker: e.r.Target, Result: e.r.Result,
 		Elapsed: clock.Duration(e.r.Elapsed), Report: e.r.Report})
+	c.probeHeard(e.r)
 	if c.cfg.Probed != nil {
 		c.cfg.Probed(e.r.Target, e.r.Result != balance.NoConnection && e.r.Result != balance.TimedOut)
 	}
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -89,5 +89,7 @@
 		c.expire(Ref{t.id, t.n})
 	case flowTimer:
 		c.overdue(t.id)
+	case leaseTimer:
+		c.leasesDue()
 	}
 }
--- a/internal/core/rules.go
+++ b/internal/core/rules.go
@@ -58,7 +58,7 @@
 	if had.Cold != r.Cold || !maps.Equal(had.Attempts, r.Attempts) {
 		c.steps = slices.Insert(c.steps, 0, balance.Event{Kind: balance.Ruled, Caps: r.Attempts, Cold: r.Cold})
 	}
-	ev := balance.Event{Kind: balance.Listed, List: balance.Changes}
+	ev := balance.Event{Kind: balance.Listed, List: balance.Changes, Local: true}
 	for _, s := range c.sources {
 		for _, t := range s.members {
 			if had.drains(&t) != r.drains(&t) {
@@ -72,9 +72,10 @@
 	}
 }
 
-// member is a target as the module is told of it: the schedulers' own drains go over its list.
+// member is a target as the module is told of it: the schedulers' own drains, and leases that have run out, go over
+// its list.
 func (c *Core) member(t Target) balance.Member {
-	if c.rules.drains(&t) && t.State == balance.Ready {
+	if t.State == balance.Ready && (c.rules.drains(&t) || c.withheld(t.ID)) {
 		t.State = balance.Draining
 	}
 	return t.Member
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -86,7 +86,7 @@
 	Target   string
 	Job      Job     // its body is held for the transport until it calls Release; not given to Cancel
 	Deadline float64 // when the core stops waiting, on its clock; not given to Cancel
-	Latest   float64 // when it may leave at the latest, as the class may not be repeated later (0: no limit); not given to Cancel
+	Latest   float64 // when it may leave at the latest: the class may not be repeated later, or the target's lease ends (0: no limit); not given to Cancel
 	Unsent   bool    // for Cancel: only if nothing of it has left, and with no word to the target
 }
 
@@ -121,6 +121,8 @@
 type Group struct {
 	Scope   balance.ListScope
 	Targets []Target
+	// LastSign is when the source last gave a sign of life, on the core's clock; 0: never. It counts for AskFailed.
+	LastSign float64
 }
 
 // Outcome tells how an attempt ended.
@@ -144,6 +146,9 @@
 type ProbeResult struct {
 	Target  string
 	Result  balance.Result
+	SentAt  float64 // when it was asked for, on the core's clock
 	Elapsed float64
 	Report  balance.Report
+	// NotReady says that the target runs and answered that it takes nothing new.
+	NotReady bool
 }
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -35,6 +35,9 @@
 	asked chan struct{}
 	heard chan struct{} // closed at the first sign of life
 	first sync.Once
+	// lastSign is when discovery last gave a sign of life on a watch that had told its first list, in ms on Clock; 0:
+	// never. Run's goroutine has it.
+	lastSign float64
 
 	mu     sync.Mutex
 	moved  bool               // Address is new, and nobody has been asked there yet
@@ -119,6 +122,7 @@
 		case <-w.asked:
 		}
 		inner, address := w.begin(ctx)
+		asked := w.Clock.Now()
 		err := w.once(inner, address)
 		moves := w.end()
 		if ctx.Err() != nil {
@@ -128,8 +132,8 @@
 			w.Log.Info("watch moves", "from", address)
 			continue // Move has asked already
 		}
-		w.Log.Warn("watch ended", "discovery", address, "index", w.From, "cause", err)
-		w.Tell(core.Group{Scope: balance.AskFailed})
+		w.Log.Warn("watch ended", "discovery", address, "index", w.From, "lasted_ms", w.Clock.Now()-asked, "cause", err)
+		w.Tell(core.Group{Scope: balance.AskFailed, LastSign: w.lastSign})
 	}
 }
 
@@ -171,7 +175,13 @@
 	if err := beat.alive(); err != nil {
 		return err
 	}
-	beat.beats = func() { w.first.Do(func() { close(w.heard) }) }
+	listed := false // before the first list, a sign of life says nothing of what the list has missed
+	beat.beats = func() {
+		w.first.Do(func() { close(w.heard) })
+		if listed {
+			w.lastSign = w.Clock.Now()
+		}
+	}
 	for lists := json.NewDecoder(beat); ; {
 		var l List
 		if err := lists.Decode(&l); err != nil {
@@ -196,6 +206,7 @@
 		w.Held, w.From = true, l.Index
 		w.Log.Info("list", "index", l.Index, "whole", l.Snapshot, "targets", len(l.Endpoints))
 		w.Tell(g)
+		listed = true
 		beat.beats()
 	}
 }
--- a/internal/net/discovery/stream_test.go
+++ b/internal/net/discovery/stream_test.go
@@ -207,3 +207,33 @@
 		other.Close()
 	}
 }
+
+// The failure of a watch tells of the last sign of life, not of when it was noticed. What comes before the first list of
+// a watch is none: what the list has missed until then is not known.
+func TestFailureTellsOfTheLastSignOfLife(t *testing.T) {
+	s := newStand(t)
+	fails := func(c net.Conn) float64 {
+		c.Close()
+		g := <-s.groups
+		require.Equal(t, balance.AskFailed, g.Scope)
+		return g.LastSign
+	}
+	s.w.Watch()
+	_, chunk, c := s.open()
+	chunk("\n")
+	require.Zero(t, fails(c), "a watch without a list")
+	s.w.Watch()
+	_, chunk, c = s.open()
+	s.clk.Advance(99)
+	chunk(s.list(42))
+	<-s.groups
+	asked := s.clk.asked()
+	s.clk.Advance(900)
+	chunk("\n")
+	require.Eventually(t, func() bool { return s.clk.asked() > asked }, 10*time.Second, time.Millisecond, "the empty line was read")
+	s.clk.Advance(5000)
+	require.Equal(t, 1000.0, fails(c))
+	s.w.Watch()
+	_, _, c = s.open()
+	require.Equal(t, 1000.0, fails(c), "a call that failed says nothing new")
+}
--- a/internal/net/target/target.go
+++ b/internal/net/target/target.go
@@ -426,7 +426,7 @@
 func (t *Transport) Probe(name string) {
 	go func() {
 		begin := t.Clock.Now()
-		r := core.ProbeResult{Target: name}
+		r := core.ProbeResult{Target: name, SentAt: begin}
 		if tg, address := t.target(name); tg != nil {
 			status, body, load, err := t.call(tg, address, "GET", "/metrics/load", probeFor)
 			switch {
@@ -437,7 +437,7 @@
 			case err != nil:
 				r.Result = balance.TimedOut
 			case status != 200:
-				r.Result = balance.Failed
+				r.Result, r.NotReady = balance.Failed, status == http.StatusServiceUnavailable
 			default:
 				r.Report = parseBody(body, load)
 			}
