--- a/balance/api.go
+++ b/balance/api.go
@@ -98,6 +98,9 @@
 	BeyondWorth    float64       // share of a request's worth that it has beyond its tenant's share
 }
 
+// apart says whether there are other dispatchers whose work this one does not hear of.
+func (s *Settings) apart() bool { return !s.Peers && s.Fleet > 1 }
+
 // Tenant has a share of what the fleet serves.
 type Tenant struct {
 	Name      string
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -766,8 +766,8 @@
 // and returns the most that it comes to.
 func (b *Balancer) refill(now time.Duration, w *worker) (burst float64) {
 	rate := coldSafety * b.cold * b.s.FallMultiple * b.slots(now, w) / max(1, b.slow(w))
-	if !b.s.Peers {
-		rate *= apartShare / float64(max(1, b.s.Fleet))
+	if b.s.apart() {
+		rate *= apartShare / float64(b.s.Fleet)
 	}
 	burst = rate * b.s.FallWindow.Seconds()
 	if b.s.Fleet > 1 {
@@ -832,7 +832,7 @@
 	next := r.answerBy
 	running := func(a attempt) bool { return a.out && a.startAt > 0 }
 	// Without word of others' jobs nobody knows that one which waits at a worker has no chance any more.
-	if r.held || b.s.Peers && b.s.TellsStart && !slices.ContainsFunc(r.attempts, running) {
+	if r.held || !b.s.apart() && b.s.TellsStart && !slices.ContainsFunc(r.attempts, running) {
 		next = r.hopeBy
 	}
 	if now >= next {
@@ -874,7 +874,7 @@
 		// The more is out there, the sooner some word is due. A dispatcher with one job there that took the
 		// wait behind others' jobs for silence would eject workers that are well.
 		patience = seconds(4 * b.runMean * b.slow(w) / float64(max(1, w.outs)))
-		if !b.s.Peers && w.outs < 3 { // nor does anybody tell it of those jobs
+		if b.s.apart() && w.outs < 3 { // nor does anybody tell it of those jobs
 			patience *= 3
 		}
 	} else if b.s.ProgressEvery > 0 {
