--- a/internal/fleet/drill/rules.go
+++ b/internal/fleet/simulation/rules.go
@@ -1,4 +1,4 @@
-package drill
+package simulation
 
 import (
 	"fmt"
@@ -47,7 +47,7 @@
 			doc := w.document()
 			_, digest, err := doc.Pack()
 			if err != nil {
-				panic(fmt.Sprintf("drill: a document that cannot be packed: %v", err))
+				panic(fmt.Sprintf("simulation: a document that cannot be packed: %v", err))
 			}
 			p := w.procs[w.rng.IntN(len(w.procs))]
 			if p.m == nil {
--- a/internal/fleet/drill/rules_test.go
+++ b/internal/fleet/simulation/rules_test.go
@@ -1,4 +1,4 @@
-package drill
+package simulation
 
 import (
 	"runtime"
--- a/internal/fleet/drill/drill.go
+++ b/internal/fleet/simulation/simulation.go
@@ -1,7 +1,7 @@
-// Package drill plays a fleet in virtual time: the real state machines of many schedulers, clocks
+// Package simulation plays a fleet in virtual time: the real state machines of many schedulers, clocks
 // that run unevenly, processes that are killed, stopped and ended, and a network with faults from
 // a script. It checks what the fleet promises at each step. The same options give the same run.
-package drill
+package simulation
 
 import (
 	"fmt"
@@ -175,7 +175,7 @@
 	}
 	m, err := fleet.New(c, p.clock(w.Now))
 	if err != nil {
-		panic(fmt.Sprintf("drill: options that make no fleet: %v", err))
+		panic(fmt.Sprintf("simulation: options that make no fleet: %v", err))
 	}
 	p.m, p.wakeAt, p.termAt, p.took = m, math.Inf(1), -1, map[int]uint64{}
 	life := p.life
@@ -217,7 +217,7 @@
 		w.Result.Tells++
 		w.Result.Bytes += len(a.Raw)
 		if a.To < 0 || a.To >= len(w.procs) {
-			panic("drill: a datagram to nobody")
+			panic("simulation: a datagram to nobody")
 		}
 		to, from := w.procs[a.To], p.n
 		for _, d := range w.net.Pass(w.Now, from, a.To, a.Raw) {
--- a/internal/fleet/drill/drill_test.go
+++ b/internal/fleet/simulation/simulation_test.go
@@ -1,4 +1,4 @@
-package drill
+package simulation
 
 import (
 	"flag"
@@ -20,9 +20,9 @@
 )
 
 var (
-	seeds = flag.Int("drill.seeds", 60, "how many seeds TestSeeds plays")
-	first = flag.Uint64("drill.first", 1, "the first of them")
-	large = flag.Bool("drill.large", false, "have TestMembership play 1,000 schedulers, too, which takes minutes")
+	seeds = flag.Int("simulation.seeds", 60, "how many seeds TestSeeds plays")
+	first = flag.Uint64("simulation.first", 1, "the first of them")
+	large = flag.Bool("simulation.large", false, "have TestMembership play 1,000 schedulers, too, which takes minutes")
 )
 
 // drawn are the options of a seed: 5 to 50 schedulers, every kind of fault.
