--- a/internal/net/listener/seats.go
+++ b/internal/net/listener/connectionslots.go
@@ -18,8 +18,8 @@
 	closing                 // nothing that comes is taken any more; it closes in a moment
 )
 
-// seat is a connection's place in the listener's budget of sockets.
-type seat struct {
+// connectionSlot is a connection's place in the listener's budget of sockets.
+type connectionSlot struct {
 	conn  *httpio.Conn
 	state standing
 	since float64 // of that state; for one without a request so far, of the connection
@@ -28,40 +28,40 @@
 	ended bool    // told to close, as it rested too long or the program ends
 }
 
-// seats are the connections of a listener. A full house never keeps a new one waiting
+// connectionSlots are the connections of a listener. A full house never keeps a new one waiting
 // while some places are held by connections that bring nothing: call-backs come to the
 // same address, and without them no job ends.
 //
 // Nobody but its own goroutine closes a connection (at the very end apart): whoever wants it closed marks the
-// seat and wakes the reader, which looks whether a request had come by then. Were it closed from outside, a
+// slot and wakes the reader, which looks whether a request had come by then. Were it closed from outside, a
 // request that was just being read would be taken and never answered.
-type seats struct {
+type connectionSlots struct {
 	clock  clock.Clock
 	budget *httpio.Budget
 	counts *Counts
 	rests  int // so many connections may rest between jobs
 
-	mu    sync.Mutex
-	winds bool // none may come to rest any more
-	shut  bool // none may wait for a first request any more
-	all   map[*seat]bool
-	going int // seats whose places are taken and whose connections still close
+	mu       sync.Mutex
+	draining bool // none may come to rest any more
+	shut     bool // none may wait for a first request any more
+	all      map[*connectionSlot]bool
+	going    int // slots whose places are taken and whose connections still close
 }
 
 // sit takes a place, if need be that of the connection that is worth least.
-func (s *seats) sit(c *httpio.Conn) (*seat, bool) {
+func (s *connectionSlots) acquire(c *httpio.Conn) (*connectionSlot, bool) {
 	if !s.budget.TryTake() && !s.evict() {
 		return nil, false
 	}
-	x := &seat{conn: c, since: s.clock.Now()}
+	x := &connectionSlot{conn: c, since: s.clock.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.all[x] = true
 	return x, true
 }
 
-// leave closes a connection and gives its place back.
-func (s *seats) leave(x *seat) {
+// release closes a connection and gives its place back.
+func (s *connectionSlots) release(x *connectionSlot) {
 	s.mu.Lock()
 	delete(s.all, x)
 	taken := x.taken
@@ -78,7 +78,7 @@
 // move notes what x stands for now, and until when, in milliseconds from now, what comes next must have come.
 // It returns false if x should rather be closed: its place is taken, or it comes to rest or waits for a first
 // request when the program no longer lets it.
-func (s *seats) move(x *seat, to standing, job bool, within float64) bool {
+func (s *connectionSlots) move(x *connectionSlot, to standing, job bool, within float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if to != reading || x.job {
@@ -90,13 +90,13 @@
 		s.spare()
 	}
 	// The deadline is set under the lock, or it could undo a waking.
-	return !x.taken && !(to == resting && (s.winds || x.ended)) && !(to == fresh && s.shut) &&
+	return !x.taken && !(to == resting && (s.draining || x.ended)) && !(to == fresh && s.shut) &&
 		x.conn.SetReadDeadline(s.clock.Deadline(within)) == nil
 }
 
 // close notes that nothing more is taken from x, and says whether there is time to close it gently: a place
 // that is taken soon makes one connection too many, and there may be only so many of them.
-func (s *seats) close(x *seat) (gently bool) {
+func (s *connectionSlots) close(x *connectionSlot) (gently bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x.state = closing
@@ -104,7 +104,7 @@
 }
 
 // end has the owner of x close it, unless a request has come by then.
-func (x *seat) end() {
+func (x *connectionSlot) end() {
 	x.ended = true
 	x.conn.Wake()
 }
@@ -112,9 +112,9 @@
 // spare ends the connection that has rested longest between jobs, if too many do. Clients
 // may only hold so many, and some never use theirs again; left open, those leave none for the
 // requests that wait there. A closing that crosses a request costs the client a new connection.
-func (s *seats) spare() {
+func (s *connectionSlots) spare() {
 	n := 0
-	var oldest *seat
+	var oldest *connectionSlot
 	for x := range s.all {
 		if x.state == resting && x.job && !x.taken && !x.ended {
 			if n++; oldest == nil || x.since < oldest.since {
@@ -132,7 +132,7 @@
 // answered and never brought a job loses nothing. One that has not sent a whole request yet
 // is next, as clients send at once when they connect. A client that brings jobs keeps its
 // connection between them by right, so it goes last.
-func (x *seat) worth() int {
+func (x *connectionSlot) worth() int {
 	switch {
 	case (x.state == resting || x.state == closing) && !x.job:
 		return 1
@@ -146,10 +146,10 @@
 
 // evict ends the connection that is worth least, among equals the one that has stood so
 // for longest, and keeps its place in the budget.
-func (s *seats) evict() bool {
+func (s *connectionSlots) evict() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var least *seat
+	var least *connectionSlot
 	for x := range s.all {
 		if w := x.worth(); w > 0 && !x.taken && !x.ended &&
 			(least == nil || w < least.worth() || w == least.worth() && x.since < least.since) {
@@ -171,7 +171,7 @@
 }
 
 // busy is how many requests are being read, served or answered, and how many connections close.
-func (s *seats) busy() int {
+func (s *connectionSlots) busy() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
@@ -183,12 +183,12 @@
 	return n
 }
 
-// wind ends what rests, and makes move say so of each further one that comes to rest; at last also what waits
+// drain ends what rests, and makes move say so of each further one that comes to rest; at last also what waits
 // for a first request.
-func (s *seats) wind(last bool) {
+func (s *connectionSlots) drain(last bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.winds, s.shut = true, s.shut || last
+	s.draining, s.shut = true, s.shut || last
 	for x := range s.all {
 		if x.state == resting || x.state == fresh && s.shut {
 			x.end()
@@ -196,22 +196,22 @@
 	}
 }
 
-// winding says whether wind was called.
-func (s *seats) winding() bool {
+// isDraining says whether drain was called.
+func (s *connectionSlots) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.winds
+	return s.draining
 }
 
 // parting says whether x should close once what has come on it is answered.
-func (s *seats) parting(x *seat) bool {
+func (s *connectionSlots) parting(x *connectionSlot) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.winds || x.ended || x.taken
+	return s.draining || x.ended || x.taken
 }
 
 // closeAll closes every connection.
-func (s *seats) closeAll() {
+func (s *connectionSlots) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for x := range s.all {
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -48,7 +48,7 @@
 	Counts Counts
 
 	ready   atomic.Bool
-	seats   seats
+	slots   connectionSlots
 	turning atomic.Int64 // connections that are told that there is no place
 }
 
@@ -66,7 +66,7 @@
 // New makes a listener ready to serve, with a budget for its connections.
 func New(core Scheduler, clk clock.Clock, log *slog.Logger, stack *httpio.Stack, classes map[string]Class, sockets *httpio.Budget) *Listener {
 	l := &Listener{Core: core, Clock: clk, Log: log, Stack: stack, Classes: classes}
-	l.seats = seats{clock: clk, budget: sockets, counts: &l.Counts, rests: max(1, sockets.Size()/restShare), all: map[*seat]bool{}}
+	l.slots = connectionSlots{clock: clk, budget: sockets, counts: &l.Counts, rests: max(1, sockets.Size()/restShare), all: map[*connectionSlot]bool{}}
 	return l
 }
 
@@ -75,18 +75,18 @@
 
 // Wind closes connections that stand between requests, and each further one once it
 // has its answer. New ones are still accepted: targets call back until the end.
-func (l *Listener) Wind() { l.seats.wind(false) }
+func (l *Listener) Wind() { l.slots.drain(false) }
 
 // Shut closes those too that still wait for a first request, and each new one on which none has come. What has
 // come is served.
-func (l *Listener) Shut() { l.seats.wind(true) }
+func (l *Listener) Shut() { l.slots.drain(true) }
 
 // Winding says whether Wind was called.
-func (l *Listener) Winding() bool { return l.seats.winding() }
+func (l *Listener) Winding() bool { return l.slots.isDraining() }
 
 // Busy is how many requests are being read, served or answered, and how many connections close; after Shut
 // also how many wait for a first request.
-func (l *Listener) Busy() int { return l.seats.busy() }
+func (l *Listener) Busy() int { return l.slots.busy() }
 
 // Serve accepts connections until ctx ends, then closes what is left.
 func (l *Listener) Serve(ctx context.Context, ln net.Listener) error {
@@ -94,7 +94,7 @@
 	defer all.Wait()
 	stop := context.AfterFunc(ctx, func() {
 		ln.Close()
-		l.seats.closeAll()
+		l.slots.closeAll()
 	})
 	defer stop()
 	for {
@@ -107,7 +107,7 @@
 			l.pause(ctx) // out of descriptors, perhaps: to try again at once would only burn the core
 			continue
 		}
-		seat, ok := l.seats.sit(l.Stack.Wrap(nc))
+		slot, ok := l.slots.acquire(l.Stack.Wrap(nc))
 		if !ok {
 			// Every place has a request in work. To leave the connection waiting would keep call-backs
 			// waiting behind it, too; a target tries its call again.
@@ -115,7 +115,7 @@
 			l.turnOff(&all, nc)
 			continue
 		}
-		all.Go(func() { l.serve(ctx, seat) })
+		all.Go(func() { l.serve(ctx, slot) })
 	}
 }
 
@@ -150,12 +150,12 @@
 }
 
 // serve takes the requests of one connection, one after the other.
-func (l *Listener) serve(ctx context.Context, x *seat) {
-	defer l.seats.leave(x)
+func (l *Listener) serve(ctx context.Context, x *connectionSlot) {
+	defer l.slots.release(x)
 	c := x.conn
 	// A new connection may have its first request on the way, so it is not closed unread while
 	// the program winds down, but a silent one must not hold its place.
-	if !l.seats.move(x, fresh, false, readFor) && !come(c) {
+	if !l.slots.move(x, fresh, false, readFor) && !come(c) {
 		l.part(x)
 		return
 	}
@@ -175,7 +175,7 @@
 		if begun > 0 {
 			within, begun = readFor-(l.Clock.Now()-begun), 0
 		}
-		if !l.seats.move(x, reading, false, within) { // its place is taken, and what has come is refused unread
+		if !l.slots.move(x, reading, false, within) { // its place is taken, and what has come is refused unread
 			l.reply(c, noPlace())
 			l.part(x)
 			return
@@ -187,7 +187,7 @@
 			}
 			return
 		}
-		if !l.seats.move(x, serving, false, readFor) {
+		if !l.slots.move(x, serving, false, readFor) {
 			body.Release()
 			l.reply(c, noPlace())
 			l.part(x)
@@ -201,12 +201,12 @@
 
 // rest readies a connection for its next request, and says whether it may come. One that has come already is
 // served, whatever became of the connection meanwhile.
-func (l *Listener) rest(x *seat, job bool) bool {
+func (l *Listener) rest(x *connectionSlot, job bool) bool {
 	idle := spareFor
 	if job || x.job {
 		idle = idleFor
 	}
-	if l.seats.move(x, resting, job, idle) || come(x.conn) {
+	if l.slots.move(x, resting, job, idle) || come(x.conn) {
 		return true
 	}
 	l.part(x)
@@ -221,8 +221,8 @@
 }
 
 // part closes a connection of which nothing more is taken.
-func (l *Listener) part(x *seat) {
-	if l.seats.close(x) {
+func (l *Listener) part(x *connectionSlot) {
+	if l.slots.close(x) {
 		httpio.CloseGently(x.conn, l.Clock.Deadline(lingerFor))
 	}
 }
@@ -249,7 +249,7 @@
 }
 
 // answer serves one request and says whether the connection goes on. It takes over the body.
-func (l *Listener) answer(x *seat, req *http.Request, body *buffer.Body) bool {
+func (l *Listener) answer(x *connectionSlot, req *http.Request, body *buffer.Body) bool {
 	path := req.URL.Path
 	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
 	class, isJob := l.Classes[name]
@@ -277,7 +277,7 @@
 		l.Counts.Rejected.Add(1)
 		l.Log.Debug("rejected", "peer", x.conn.RemoteAddr(), "cause", r.text)
 	}
-	r.close = r.close || req.Close || l.seats.parting(x)
+	r.close = r.close || req.Close || l.slots.parting(x)
 	switch {
 	case !l.reply(x.conn, r):
 		return false
@@ -309,7 +309,7 @@
 
 // flow hands a job to the core, waits for its answer and writes that. A client that
 // closes its side meanwhile has gone away, also one that has sent more before.
-func (l *Listener) flow(x *seat, r *core.Request, last bool) bool {
+func (l *Listener) flow(x *connectionSlot, r *core.Request, last bool) bool {
 	c := x.conn
 	e := &exchange{answers: make(chan core.Answer, 1)}
 	r.From = e
@@ -341,7 +341,7 @@
 	}
 	p := fixedResponse(a)
 	// While winding down, an answer is the best moment to part: no request can cross the closing.
-	p.close = last || flooded || l.seats.parting(x)
+	p.close = last || flooded || l.slots.parting(x)
 	switch {
 	case !l.reply(c, p):
 		return false
--- a/internal/net/listener/listener_test.go
+++ b/internal/net/listener/listener_test.go
@@ -85,16 +85,16 @@
 		require.NoError(t, talk(conns[i], ask, ready))
 		require.Eventually(t, func() bool { return l.resting() == min(i, 5)+1 }, 10*time.Second, time.Millisecond)
 		clk.Advance(1)
-		l.seats.mu.Lock()
-		var x *seat
-		for y := range l.seats.all {
+		l.slots.mu.Lock()
+		var x *connectionSlot
+		for y := range l.slots.all {
 			if !y.job {
 				x = y
 			}
 		}
-		l.seats.mu.Unlock()
-		require.True(t, l.seats.move(x, serving, true, 1))
-		l.seats.move(x, resting, true, 1)
+		l.slots.mu.Unlock()
+		require.True(t, l.slots.move(x, serving, true, 1))
+		l.slots.move(x, resting, true, 1)
 		if i >= 5 {
 			_, err := conns[i-5].Read(make([]byte, 1))
 			require.ErrorIs(t, err, io.EOF)
@@ -115,20 +115,20 @@
 		{resting, false, 1}, {fresh, false, 2}, {reading, false, 2}, {resting, true, 3},
 		{reading, true, 0}, {serving, false, 0}, {serving, true, 0}, {closing, false, 1}, {closing, true, 0},
 	} {
-		require.Equal(t, c.want, (&seat{state: c.state, job: c.job}).worth(), "%+v", c)
+		require.Equal(t, c.want, (&connectionSlot{state: c.state, job: c.job}).worth(), "%+v", c)
 	}
 }
 
 func (l *Listener) taken() int {
-	l.seats.mu.Lock()
-	defer l.seats.mu.Unlock()
-	return len(l.seats.all)
+	l.slots.mu.Lock()
+	defer l.slots.mu.Unlock()
+	return len(l.slots.all)
 }
 
 func (l *Listener) resting() (n int) {
-	l.seats.mu.Lock()
-	defer l.seats.mu.Unlock()
-	for x := range l.seats.all {
+	l.slots.mu.Lock()
+	defer l.slots.mu.Unlock()
+	for x := range l.slots.all {
 		if x.state == resting {
 			n++
 		}
