--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -343,6 +343,6 @@
 		b, n, l := s.core.Books(), &s.targets.Counts, &s.listener.Counts
 		s.log.Info("books", "open", b.Open, "taken", b.Taken, "served", b.Served, "refused", b.Refused, "failed", b.Failed,
 			"left", b.Left, "sends", b.Sends, "cancels", b.Cancels, "probes", b.Probes, "withheld", b.Withheld, "lists", b.Lists, "list_failures", b.ListFailures, "outcomes", b.Outcomes, "dropped", b.Dropped,
-			"dialled", n.Dialled.Load(), "reused", n.Reused.Load(), "retired", n.Retired.Load(), "unheard", n.Unheard.Load(), "told", told, "heard", heard, "rejected", l.Rejected.Load(), "evicted", l.Evicted.Load(), "spared", l.Spared.Load(), "turned_off", l.TurnedOff.Load(), "strange", b.Strange, "room", b.Room, "invariants", s.inv.Counts())
+			"dialled", n.Dialled.Load(), "reused", n.Reused.Load(), "retired", n.Retired.Load(), "unheard", n.Unheard.Load(), "told", told, "heard", heard, "rejected", l.Rejected.Load(), "evicted", l.Evicted.Load(), "spared", l.Spared.Load(), "turned_off", l.TurnedOff.Load(), "unreadable_datagrams", b.Unreadable, "room", b.Room, "invariants", s.inv.Counts())
 	}
 }
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -21,7 +21,7 @@
 	Dropped                              map[string]int // late news, by what it was
 	Open, Targets                        int
 	Room                                 slog.Value // of held room; empty while it is off
-	Strange                              int        // datagrams that could not be read
+	Unreadable                           int        // datagrams that could not be read
 }
 
 func (b *Books) outcome(r balance.Result) {
@@ -97,7 +97,7 @@
 func (e readBooks) apply(c *Core) {
 	b := c.books
 	b.Dropped = maps.Clone(b.Dropped)
-	b.Open, b.Targets, b.Strange = c.open, len(c.targets), c.module.Strange
+	b.Open, b.Targets, b.Unreadable = c.open, len(c.targets), c.module.Unreadable
 	if p := c.module.Room(); p != nil {
 		b.Room = p.LogValue()
 	}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -46,7 +46,7 @@
 	held    bool          // the last whole datagram told of held room
 	ev      balance.Event // the module's event in hand, or one made here
 
-	Strange int // datagrams that could not be read
+	Unreadable int // datagrams that could not be read
 
 	room *room.Planner // nil while it is off
 	roomers
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -122,7 +122,7 @@
 		ev.Kind = balance.PeerSpoke
 		two.step(ev)
 	}
-	require.Equal(t, 6, two.d.Strange)
+	require.Equal(t, 6, two.d.Unreadable)
 	require.InDelta(t, before+1, two.load(at), 0.01)
 	// The word of one that falls silent holds for a stated time.
 	two.elapse(toldFor)
--- a/internal/decide/words.go
+++ b/internal/decide/words.go
@@ -227,7 +227,7 @@
 // hear takes in what another scheduler says. What cannot be read is counted and passed over.
 func (d *Decider) hear(now time.Duration, ev *balance.Event, acts []balance.Action) []balance.Action {
 	if ev.Who < 0 || ev.Who >= d.s.Fleet || ev.Who == d.s.Self || tell.Parse(ev.Raw, &d.in) != nil {
-		d.Strange++
+		d.Unreadable++
 		return acts
 	}
 	d.toldAt[ev.Who] = now
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -175,8 +175,8 @@
 	raw     []byte
 	acts    []Action
 
-	// Strange counts datagrams that could not be read: cut off, changed, of another version or fleet.
-	Strange int
+	// Unreadable counts datagrams that could not be read: cut off, changed, of another version or fleet.
+	Unreadable int
 }
 
 // New returns a machine that has just begun. Its first event, Due, should come at once.
@@ -260,7 +260,7 @@
 	switch {
 	case len(m.raw) > 0 && m.raw[0] == members.Version:
 		if m.msg.Parse(m.raw, m.digest) != nil {
-			m.Strange++
+			m.Unreadable++
 			return
 		}
 		m.member(now, &members.Event{Kind: members.Heard, From: ev.From, Msg: &m.msg})
@@ -289,7 +289,7 @@
 // signed counts a datagram that could not be read, and takes any other one for a sign that its sender lives.
 func (m *Machine) signed(now float64, from int, err error) bool {
 	if err != nil {
-		m.Strange++
+		m.Unreadable++
 		return false
 	}
 	m.member(now, &members.Event{Kind: members.Sign, From: from})
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -69,16 +69,16 @@
 	}
 	hear := func(raw string) []Action { return m.Step(1000, &Event{Kind: Heard, From: 1, Raw: raw}, nil) }
 	require.NotEmpty(t, hear(good[0]), "a voter answers")
-	require.Zero(t, m.Strange)
+	require.Zero(t, m.Unreadable)
 	hear(good[1])
-	require.Equal(t, 1, m.Strange)
+	require.Equal(t, 1, m.Unreadable)
 	for i := range len(good[0]) {
 		hear(good[0][:i])
 		b := []byte(good[0])
 		b[i] ^= 0x55
 		hear(string(b))
 	}
-	require.Equal(t, 1+2*len(good[0])-2, m.Strange, "all but the empty word, and one whose first byte is another version's")
+	require.Equal(t, 1+2*len(good[0])-2, m.Unreadable, "all but the empty word, and one whose first byte is another version's")
 	require.True(t, Reads(good[0]))
 	require.False(t, Reads("") || Reads("\x01abc"))
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/internal/fleet/simulation/simulation.go
+++ b/internal/fleet/simulation/simulation.go
@@ -37,22 +37,22 @@
 
 // Result is what came of it.
 type Result struct {
-	Gained, Lost     int
-	Acts, Late       int       // acts taken, and refused for an older number
-	Double           int       // two believed to hold one duty
-	Falling          int       // a number that was not newer than all before
-	Old              int       // acts taken under an older number than one taken before
-	Unheld           int       // duties that nobody holds at the end
-	Gaps             []float64 // ms without a holder, from the end of one holding to the next
-	Handed           []float64 // the same, where the holder was asked to end
-	Tells            int
-	Bytes            int
-	False            int       // living schedulers that some other took for dead
-	Noticed          []float64 // ms from a kill to its being taken for dead by another
-	Strange, Foreign int
-	Trace            uint64 // a hash of all that happened
-	Holdings         []Holding
-	Rules            RulesResult
+	Gained, Lost        int
+	Acts, Late          int       // acts taken, and refused for an older number
+	Double              int       // two believed to hold one duty
+	Falling             int       // a number that was not newer than all before
+	Old                 int       // acts taken under an older number than one taken before
+	Unheld              int       // duties that nobody holds at the end
+	Gaps                []float64 // ms without a holder, from the end of one holding to the next
+	Handed              []float64 // the same, where the holder was asked to end
+	Tells               int
+	Bytes               int
+	False               int       // living schedulers that some other took for dead
+	Noticed             []float64 // ms from a kill to its being taken for dead by another
+	Unreadable, Foreign int
+	Trace               uint64 // a hash of all that happened
+	Holdings            []Holding
+	Rules               RulesResult
 }
 
 // Holding is a time in which a scheduler believed to hold a duty.
@@ -390,7 +390,7 @@
 	for d, i := range p.holds {
 		w.close(p, d, i, p.termAt >= 0)
 	}
-	w.Result.Strange += p.m.Strange
+	w.Result.Unreadable += p.m.Unreadable
 	p.m, p.waiting, p.killedAt, p.stillTo = nil, nil, w.Now, 0
 }
 
@@ -461,7 +461,7 @@
 			w.close(p, d, i, false)
 		}
 		if p.m != nil {
-			w.Result.Strange += p.m.Strange
+			w.Result.Unreadable += p.m.Unreadable
 		}
 	}
 	w.Result.Trace = w.trace.Sum64()
--- a/internal/net/peers/peers.go
+++ b/internal/net/peers/peers.go
@@ -30,7 +30,7 @@
 	who  map[netip.AddrPort]int
 	each []netip.AddrPort // by number
 
-	Sent, Heard, Strange, Failed atomic.Int64
+	Sent, Heard, Unreadable, Failed atomic.Int64
 }
 
 // Open binds the address. Without one, or without anybody to send to, it returns nil.
@@ -106,7 +106,7 @@
 		}
 		who, ok := l.who[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
 		if !ok || n > MaxSize {
-			l.Strange.Add(1)
+			l.Unreadable.Add(1)
 			continue
 		}
 		l.Heard.Add(1)
--- a/internal/net/peers/peers_test.go
+++ b/internal/net/peers/peers_test.go
@@ -35,7 +35,7 @@
 
 	_, err = stranger.WriteTo([]byte("lies"), l.Addr())
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return l.Strange.Load() == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return l.Unreadable.Load() == 1 }, 10*time.Second, time.Millisecond)
 	_, err = peer.WriteTo([]byte("word"), l.Addr())
 	require.NoError(t, err)
 	require.Equal(t, "1word", <-heard)
@@ -87,7 +87,7 @@
 			who := <-heard
 			require.Equal(t, len(peers)-1, who, "%s: the last number that has the address", name)
 		} else {
-			require.Eventually(t, func() bool { return l.Strange.Load() == 1 }, 10*time.Second, time.Millisecond, name)
+			require.Eventually(t, func() bool { return l.Unreadable.Load() == 1 }, 10*time.Second, time.Millisecond, name)
 		}
 		l.Tell([]int{0, len(peers), 1 << 30}, "nobody's, where there are none")
 		cancel()
--- a/internal/tell/tell.go
+++ b/internal/tell/tell.go
@@ -17,7 +17,7 @@
 //
 // Between two of these, a datagram of version 2 tells what changed: groups of three bytes, where
 // no slots mean that nothing is out there any more. A scheduler that does not know it counts it as
-// strange and believes what it was told last; one that lost it is put right by the next whole one.
+// unreadable and believes what it was told last; one that lost it is put right by the next whole one.
 //
 // Both forms would say what is not so where a target shares its two bytes with another listed one,
 // and version 1 where not all fits, as what it leaves out is taken for idle. There version 3 is
@@ -29,7 +29,7 @@
 //	for each hold: name (4)  slots  from (8 ms units)
 //
 // An empty stretch (first above last) makes it one of changes. Numbers are little-endian. A
-// scheduler that does not know it counts it as strange, and after a while takes its sender for silent.
+// scheduler that does not know it counts it as unreadable, and after a while takes its sender for silent.
 package tell
 
 import (
