--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"cottonwell/balance"
+	"cottonwell/internal/gossip"
 	"cottonwell/internal/room"
-	"cottonwell/internal/tell"
 )
 
 const (
@@ -30,18 +30,18 @@
 type Decider struct {
 	s       balance.Settings
 	module  *balance.Balancer
-	names   map[string]tell.Name   // of the listed targets
-	short   map[tell.Name][]string // and these by what datagrams call them
-	long    map[tell.Name][]string
+	names   map[string]gossip.Name   // of the listed targets
+	short   map[gossip.Name][]string // and these by what datagrams call them
+	long    map[gossip.Name][]string
 	toldAt  []time.Duration      // when each other scheduler last spoke; 0: silent
 	heard   []map[string]float64 // what each of them has out
 	at      map[string][]int     // who of them has work at a target
 	owed    []int                // whole words that each of them is still to get
-	said    []tell.Load          // what this one has told of its own
+	said    []gossip.Load        // what this one has told of its own
 	wholeAt time.Duration        // when it last told all; 0: never
-	part    []tell.Load          // changes since
-	in      tell.Message
-	out     tell.Message
+	part    []gossip.Load        // changes since
+	in      gossip.Message
+	out     gossip.Message
 	raw     []byte
 	held    bool          // the last whole datagram told of held room
 	ev      balance.Event // the module's event in hand, or one made here
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Decider{s: s, module: module, names: map[string]tell.Name{}, short: map[tell.Name][]string{}, long: map[tell.Name][]string{},
+	d := &Decider{s: s, module: module, names: map[string]gossip.Name{}, short: map[gossip.Name][]string{}, long: map[gossip.Name][]string{},
 		at: map[string][]int{}, toldAt: make([]time.Duration, s.Fleet),
 		heard: make([]map[string]float64, s.Fleet), owed: make([]int, s.Fleet)}
 	if err := d.startRoom(plan); err != nil {
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"cottonwell/balance"
+	"cottonwell/internal/gossip"
 	"cottonwell/internal/room"
-	"cottonwell/internal/tell"
 )
 
 const ms = time.Millisecond
@@ -154,7 +154,7 @@
 	require.Nil(t, whole[0].To, "to all")
 	// One that is far away has work at the target that gets the next job: it is told, too.
 	at := find(h.step(balance.Event{Kind: balance.Arrived, Request: 1, Class: "view", Budget: time.Second, Slots: 1}), balance.Send).Worker
-	h.step(balance.Event{Kind: balance.PeerSpoke, Who: 3, Raw: string(tell.AppendPart(nil, []tell.Load{{Target: tell.NameOf(at), Slots: 1}}))})
+	h.step(balance.Event{Kind: balance.PeerSpoke, Who: 3, Raw: string(gossip.AppendPart(nil, []gossip.Load{{Target: gossip.NameOf(at), Slots: 1}}))})
 	part := tells(h.elapse(tellEvery))
 	require.Len(t, part, 1)
 	require.Contains(t, part[0].To, 3)
@@ -170,9 +170,9 @@
 	before := o.load(at)
 	o.step(balance.Event{Kind: balance.PeerSpoke, Who: 40, Raw: part[0].Raw})
 	require.InDelta(t, before+1, o.load(at), 0.01)
-	o.step(balance.Event{Kind: balance.PeerSpoke, Who: 40, Raw: string(tell.AppendPart(nil, []tell.Load{{Target: tell.NameOf("s-00"), Slots: 2}}))})
+	o.step(balance.Event{Kind: balance.PeerSpoke, Who: 40, Raw: string(gossip.AppendPart(nil, []gossip.Load{{Target: gossip.NameOf("s-00"), Slots: 2}}))})
 	require.InDelta(t, before+1, o.load(at), 0.01, "a target that is not named has what it had")
-	o.step(balance.Event{Kind: balance.PeerSpoke, Who: 40, Raw: string(tell.AppendPart(nil, []tell.Load{{Target: tell.NameOf(at)}}))})
+	o.step(balance.Event{Kind: balance.PeerSpoke, Who: 40, Raw: string(gossip.AppendPart(nil, []gossip.Load{{Target: gossip.NameOf(at)}}))})
 	require.InDelta(t, before, o.load(at), 0.01, "none is none")
 	h.step(balance.Event{Kind: balance.Ended, Request: 1, Worker: at, Result: balance.OK, Final: true})
 	all := tells(h.elapse(wholeEvery))
@@ -188,13 +188,13 @@
 // bytes; and of two targets that share a name, one always seemed changed, and was told each time.
 func TestSameEventsGiveTheSameWords(t *testing.T) {
 	var ids []string
-	byName := map[tell.Name]string{}
+	byName := map[gossip.Name]string{}
 	for i := 0; len(ids) == 0; i++ { // two that share a name
 		id := fmt.Sprintf("s-%05d", i)
-		if other := byName[tell.NameOf(id).Short()]; other != "" {
+		if other := byName[gossip.NameOf(id).Short()]; other != "" {
 			ids = []string{other, id}
 		}
-		byName[tell.NameOf(id).Short()] = id
+		byName[gossip.NameOf(id).Short()] = id
 	}
 	for i := range 12 {
 		ids = append(ids, fmt.Sprintf("t-%02d", i))
@@ -254,11 +254,11 @@
 	gone := members("s-2")
 	gone[0].State = balance.Gone
 	h.step(balance.Event{Kind: balance.Listed, List: balance.Changes, Members: append(gone, members("s-3", "s-1")...)})
-	require.Equal(t, map[tell.Name][]string{tell.NameOf("s-1").Short(): {"s-1"}, tell.NameOf("s-3").Short(): {"s-3"}}, d.short)
-	require.Equal(t, map[tell.Name][]string{tell.NameOf("s-1"): {"s-1"}, tell.NameOf("s-3"): {"s-3"}}, d.long)
+	require.Equal(t, map[gossip.Name][]string{gossip.NameOf("s-1").Short(): {"s-1"}, gossip.NameOf("s-3").Short(): {"s-3"}}, d.short)
+	require.Equal(t, map[gossip.Name][]string{gossip.NameOf("s-1"): {"s-1"}, gossip.NameOf("s-3"): {"s-3"}}, d.long)
 	h.step(balance.Event{Kind: balance.Listed, List: balance.Whole, Members: members("s-4")})
-	require.Equal(t, map[tell.Name][]string{tell.NameOf("s-4").Short(): {"s-4"}}, d.short)
-	require.Equal(t, map[tell.Name][]string{tell.NameOf("s-4"): {"s-4"}}, d.long)
+	require.Equal(t, map[gossip.Name][]string{gossip.NameOf("s-4").Short(): {"s-4"}}, d.short)
+	require.Equal(t, map[gossip.Name][]string{gossip.NameOf("s-4"): {"s-4"}}, d.long)
 }
 
 func plan() *room.Config {
@@ -312,9 +312,9 @@
 	}
 	word := find(h.elapse(tellEvery), balance.Tell)
 	require.NotNil(t, word)
-	var m tell.Message
-	require.NoError(t, tell.Parse(word.Raw, &m))
-	require.Equal(t, []tell.Hold{{Target: tell.NameOf("s-1").Short(), Slots: 4, From: m.Holds[0].From}}, m.Holds)
+	var m gossip.Message
+	require.NoError(t, gossip.Parse(word.Raw, &m))
+	require.Equal(t, []gossip.Hold{{Target: gossip.NameOf("s-1").Short(), Slots: 4, From: m.Holds[0].From}}, m.Holds)
 	h.end(ids[0], 1)
 	require.Nil(t, find(h.step(balance.Event{Kind: balance.Arrived, Request: 3000, Class: "view", Tenant: "t", Budget: 5 * time.Second, Slots: 1}), balance.Send),
 		"a small job took a slot that is held")
--- a/internal/decide/fleet_bench_test.go
+++ b/internal/decide/fleet_bench_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cottonwell/balance"
-	"cottonwell/internal/tell"
+	"cottonwell/internal/gossip"
 )
 
 // BenchmarkFleet is the cost of what comes most often in a large fleet, by targets and schedulers:
@@ -29,8 +29,8 @@
 				now := time.Hour
 				d.Step(now, &balance.Event{Kind: balance.Listed, List: balance.FromDisk, Members: members(ids...)}, nil)
 				for who := 1; who < peers; who++ {
-					m := tell.Message{Loads: []tell.Load{{Target: tell.NameOf(ids[who%(targets/2)*2]), Slots: 1}}}
-					d.Step(now, &balance.Event{Kind: balance.PeerSpoke, Who: who, Raw: string(tell.Append(nil, &m))}, nil)
+					m := gossip.Message{Loads: []gossip.Load{{Target: gossip.NameOf(ids[who%(targets/2)*2]), Slots: 1}}}
+					d.Step(now, &balance.Event{Kind: balance.PeerSpoke, Who: who, Raw: string(gossip.Append(nil, &m))}, nil)
 				}
 				b.ReportAllocs()
 				b.ResetTimer()
@@ -52,7 +52,7 @@
 				d, now := begin(b)
 				var raw [2]string
 				for i := range raw {
-					raw[i] = string(tell.AppendPart(nil, []tell.Load{{Target: tell.NameOf(ids[5]), Slots: float64(i)}}))
+					raw[i] = string(gossip.AppendPart(nil, []gossip.Load{{Target: gossip.NameOf(ids[5]), Slots: float64(i)}}))
 				}
 				var acts []balance.Action
 				for n := range b.N {
--- a/internal/decide/words.go
+++ b/internal/decide/gossip.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"cottonwell/balance"
-	"cottonwell/internal/tell"
+	"cottonwell/internal/gossip"
 )
 
 // list keeps the names of the listed targets.
@@ -25,7 +25,7 @@
 			without(d.short, n.Short(), id)
 			without(d.long, n, id)
 		case !had && !gone:
-			n = tell.NameOf(id)
+			n = gossip.NameOf(id)
 			d.names[id] = n
 			d.short[n.Short()] = append(d.short[n.Short()], id)
 			d.long[n] = append(d.long[n], id)
@@ -33,7 +33,7 @@
 	}
 }
 
-func without(names map[tell.Name][]string, n tell.Name, id string) {
+func without(names map[gossip.Name][]string, n gossip.Name, id string) {
 	ids := slices.DeleteFunc(names[n], func(x string) bool { return x == id })
 	if names[n] = ids; len(ids) == 0 {
 		delete(names, n)
@@ -66,7 +66,7 @@
 	first := d.wholeAt == 0
 	if whole := first || now-d.wholeAt >= every; whole || !holding && len(d.part) > 0 {
 		to, some := d.audience(whole)
-		m := &tell.Message{Part: true, Loads: d.part}
+		m := &gossip.Message{Part: true, Loads: d.part}
 		if whole {
 			d.wholeAt, d.held, m = max(now, 1), len(d.out.Holds) > 0, &d.out
 		}
@@ -85,10 +85,10 @@
 	d.out.Loads, d.part = d.out.Loads[:0], d.part[:0]
 	d.module.Out(func(id string, slots float64) {
 		if n, ok := d.names[id]; ok {
-			d.out.Loads = append(d.out.Loads, tell.Load{Target: n, Slots: slots})
+			d.out.Loads = append(d.out.Loads, gossip.Load{Target: n, Slots: slots})
 		}
 	})
-	slices.SortFunc(d.out.Loads, func(x, y tell.Load) int { return cmp.Compare(x.Target, y.Target) })
+	slices.SortFunc(d.out.Loads, func(x, y gossip.Load) int { return cmp.Compare(x.Target, y.Target) })
 	n := 0
 	for _, l := range d.out.Loads { // targets that share a whole name are told as one
 		if n > 0 && d.out.Loads[n-1].Target == l.Target {
@@ -102,7 +102,7 @@
 	old := d.said
 	for _, l := range d.out.Loads {
 		for ; len(old) > 0 && old[0].Target < l.Target; old = old[1:] {
-			d.part = append(d.part, tell.Load{Target: old[0].Target})
+			d.part = append(d.part, gossip.Load{Target: old[0].Target})
 		}
 		if len(old) > 0 && old[0].Target == l.Target {
 			if old[0].Slots != l.Slots {
@@ -114,30 +114,30 @@
 		d.part = append(d.part, l)
 	}
 	for _, l := range old {
-		d.part = append(d.part, tell.Load{Target: l.Target})
+		d.part = append(d.part, gossip.Load{Target: l.Target})
 	}
 }
 
 // say puts a message into as many datagrams as it takes. Those of old say it in one, unless it
 // does not fit, or a target's short name is another's too: what they left out would be taken for
 // idle, and the other target would have the work as well.
-func (d *Decider) say(m *tell.Message, to []int, acts []balance.Action) []balance.Action {
+func (d *Decider) say(m *gossip.Message, to []int, acts []balance.Action) []balance.Action {
 	tells := func() { acts = append(acts, balance.Action{Kind: balance.Tell, Raw: string(d.raw), To: to}) }
-	shared := func(n tell.Name) bool { return len(d.short[n.Short()]) > 1 }
-	if m.Fits() && !slices.ContainsFunc(m.Loads, func(l tell.Load) bool { return shared(l.Target) }) &&
-		!slices.ContainsFunc(m.Holds, func(h tell.Hold) bool { return shared(h.Target) }) {
+	shared := func(n gossip.Name) bool { return len(d.short[n.Short()]) > 1 }
+	if m.Fits() && !slices.ContainsFunc(m.Loads, func(l gossip.Load) bool { return shared(l.Target) }) &&
+		!slices.ContainsFunc(m.Holds, func(h gossip.Hold) bool { return shared(h.Target) }) {
 		if d.raw = d.raw[:0]; m.Part {
-			d.raw = tell.AppendPart(d.raw, m.Loads)
+			d.raw = gossip.AppendPart(d.raw, m.Loads)
 		} else {
-			d.raw = tell.Append(d.raw, m)
+			d.raw = gossip.Append(d.raw, m)
 		}
 		tells()
 		return acts
 	}
 	rest := *m
-	for first := tell.Name(0); ; {
+	for first := gossip.Name(0); ; {
 		told := 0
-		d.raw, told, first = tell.AppendLong(d.raw[:0], &rest, first)
+		d.raw, told, first = gossip.AppendLong(d.raw[:0], &rest, first)
 		tells()
 		if rest.Loads = rest.Loads[told:]; len(rest.Loads) == 0 {
 			return acts
@@ -217,7 +217,7 @@
 }
 
 // called lists the targets that the datagram in hand means by a name.
-func (d *Decider) called(n tell.Name) []string {
+func (d *Decider) called(n gossip.Name) []string {
 	if d.in.Long {
 		return d.long[n]
 	}
@@ -226,7 +226,7 @@
 
 // hear takes in what another scheduler says. What cannot be read is counted and passed over.
 func (d *Decider) hear(now time.Duration, ev *balance.Event, acts []balance.Action) []balance.Action {
-	if ev.Who < 0 || ev.Who >= d.s.Fleet || ev.Who == d.s.Self || tell.Parse(ev.Raw, &d.in) != nil {
+	if ev.Who < 0 || ev.Who >= d.s.Fleet || ev.Who == d.s.Self || gossip.Parse(ev.Raw, &d.in) != nil {
 		d.Unreadable++
 		return acts
 	}
@@ -237,7 +237,7 @@
 	if !d.in.Part {
 		for id := range d.heard[ev.Who] {
 			if d.in.Long {
-				if n := tell.NameOf(id); n < d.in.First || n > d.in.Final {
+				if n := gossip.NameOf(id); n < d.in.First || n > d.in.Final {
 					continue
 				}
 			}
--- a/internal/decide/words_test.go
+++ b/internal/decide/gossip_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cottonwell/balance"
-	"cottonwell/internal/tell"
+	"cottonwell/internal/gossip"
 )
 
 func told(acts []balance.Action) (out []balance.Action) {
@@ -69,7 +69,7 @@
 	require.Greater(t, len(words), 1)
 	for range 200 {
 		w := words[rng.IntN(len(words))] // some twice, some not at all
-		require.LessOrEqual(t, len(w.Raw), tell.MaxSize)
+		require.LessOrEqual(t, len(w.Raw), gossip.MaxSize)
 		two.step(balance.Event{Kind: balance.PeerSpoke, Who: 0, Raw: w.Raw})
 		require.Len(t, d.heard[0], len(out))
 	}
@@ -90,13 +90,13 @@
 
 // twins finds two ids that share the two bytes by which short datagrams call them.
 func twins() (a, b string) {
-	seen := map[tell.Name]string{}
+	seen := map[gossip.Name]string{}
 	for i := 0; ; i++ {
 		b = fmt.Sprintf("s-%05d", i)
-		if a = seen[tell.NameOf(b).Short()]; a != "" {
+		if a = seen[gossip.NameOf(b).Short()]; a != "" {
 			return a, b
 		}
-		seen[tell.NameOf(b).Short()] = b
+		seen[gossip.NameOf(b).Short()] = b
 	}
 }
 
@@ -132,7 +132,7 @@
 	}
 	require.Empty(t, d.heard[0])
 	// An old scheduler speaks of both, and cannot do else.
-	two.step(balance.Event{Kind: balance.PeerSpoke, Who: 0, Raw: string(tell.AppendPart(nil, []tell.Load{{Target: tell.NameOf(a), Slots: 1}}))})
+	two.step(balance.Event{Kind: balance.PeerSpoke, Who: 0, Raw: string(gossip.AppendPart(nil, []gossip.Load{{Target: gossip.NameOf(a), Slots: 1}}))})
 	require.Equal(t, map[string]float64{a: 1, b: 1}, d.heard[0])
 }
 
@@ -180,7 +180,7 @@
 	long := large(5000)
 	h.step(balance.Event{Kind: balance.Listed, List: balance.Changes, Members: members(long...)})
 	require.Len(t, d.names, 5002)
-	raw := string(tell.AppendPart(nil, []tell.Load{{Target: tell.NameOf(long[7]), Slots: 2}}))
+	raw := string(gossip.AppendPart(nil, []gossip.Load{{Target: gossip.NameOf(long[7]), Slots: 2}}))
 	h.step(balance.Event{Kind: balance.PeerSpoke, Who: 9, Raw: raw})
 	require.NotEmpty(t, d.heard[9])
 	h.step(balance.Event{Kind: balance.Listed, List: balance.Whole, Members: members("s-2")})
--- a/internal/decide/room.go
+++ b/internal/decide/room.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"cottonwell/balance"
+	"cottonwell/internal/gossip"
 	"cottonwell/internal/room"
-	"cottonwell/internal/tell"
 )
 
 // roomers is what the Decider keeps for the planner.
@@ -224,12 +224,12 @@
 		return
 	}
 	d.room.Own(func(id string, slots, out, from float64) {
-		d.out.Holds = append(d.out.Holds, tell.Hold{Target: tell.NameOf(id), Slots: slots, Out: out, From: from - millis(now)})
+		d.out.Holds = append(d.out.Holds, gossip.Hold{Target: gossip.NameOf(id), Slots: slots, Out: out, From: from - millis(now)})
 	})
 }
 
 // told hands the module and the planner what a scheduler has out and holds.
-func (d *Decider) told(now time.Duration, who int, holds []tell.Hold, acts []balance.Action) []balance.Action {
+func (d *Decider) told(now time.Duration, who int, holds []gossip.Hold, acts []balance.Action) []balance.Action {
 	from := len(acts)
 	d.ev = balance.Event{Kind: balance.PeerSpoke, Who: who, Loads: d.heard[who]}
 	acts = d.module.Step(now, &d.ev, acts)
--- a/internal/tell/tell.go
+++ b/internal/gossip/gossip.go
@@ -1,4 +1,4 @@
-// Package tell is the form of the datagrams by which schedulers of one tier tell one another
+// Package gossip is the form of the datagrams by which schedulers of one tier tell one another
 // what they have out and what room they hold. It is pure text work: who sends them, and when,
 // is decided elsewhere.
 //
@@ -30,7 +30,7 @@
 //
 // An empty stretch (first above last) makes it one of changes. Numbers are little-endian. A
 // scheduler that does not know it counts it as unreadable, and after a while takes its sender for silent.
-package tell
+package gossip
 
 import (
 	"encoding/binary"
--- a/internal/tell/tell_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,4 +1,4 @@
-package tell
+package gossip
 
 import (
 	"cmp"
--- a/internal/shopfront/shopfront.go
+++ b/internal/shopfront/shopfront.go
@@ -24,7 +24,7 @@
 
 	"cottonwell/internal/emulator"
 	"cottonwell/internal/faults"
-	"cottonwell/internal/tell"
+	"cottonwell/internal/gossip"
 	"cottonwell/internal/units"
 )
 
@@ -55,8 +55,8 @@
 	changed  chan struct{} // closed at each change of the list
 	attempts map[string]*story
 	broken   map[string]int
-	held     []map[tell.Name]float64 // slots, by scheduler, as told in datagrams
-	holds    int                     // told of so far
+	held     []map[gossip.Name]float64 // slots, by scheduler, as told in datagrams
+	holds    int                       // told of so far
 }
 
 // Node is what a scheduler of the shop is told.
@@ -140,7 +140,7 @@
 			return fail(err)
 		}
 		s.peers, s.scheds = append(s.peers, p), append(s.scheds, n)
-		s.held = append(s.held, map[tell.Name]float64{})
+		s.held = append(s.held, map[gossip.Name]float64{})
 	}
 	s.known = make([][]entry, spec.Schedulers)
 	var err error
@@ -288,15 +288,15 @@
 
 // overhear keeps what schedulers say that they hold.
 func (s *Shop) overhear(who int, raw string) {
-	var m tell.Message
-	if tell.Parse(raw, &m) != nil {
+	var m gossip.Message
+	if gossip.Parse(raw, &m) != nil {
 		s.breaks("datagram-unreadable")
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.held[who]
-	s.held[who] = map[tell.Name]float64{}
+	s.held[who] = map[gossip.Name]float64{}
 	for _, h := range m.Holds {
 		if before[h.Target] == 0 {
 			s.holds++
