Have the test of a crossing request wait until its connection is being read

Cause: it waited until the place was taken, which is before the connection waits for a request; ended in between it is closed with nothing on it, as it may be. What the test asks is unchanged.

--- a/internal/net/listener/crossing_test.go
+++ b/internal/net/listener/crossing_test.go
@@ -26,9 +26,14 @@
 type crossing struct {
 	*net.TCPConn
 	cross chan func()
+	reads chan struct{}
 }
 
 func (c *crossing) Read(b []byte) (int, error) {
+	select {
+	case c.reads <- struct{}{}:
+	default:
+	}
 	n, err := c.TCPConn.Read(b)
 	if n == 0 && httpio.TimedOut(err) {
 		select {
@@ -55,6 +60,7 @@
 type crossings struct {
 	net.Listener
 	cross chan func()
+	reads chan struct{} // told once a connection is being read, and so waits for a request
 }
 
 func (l *crossings) Accept() (net.Conn, error) {
@@ -62,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &crossing{c.(*net.TCPConn), l.cross}, nil
+	return &crossing{c.(*net.TCPConn), l.cross, l.reads}, nil
 }
 
 // A connection is ended while a request arrives on it: it is answered whole, and then closed. Before, it was closed
@@ -80,12 +86,12 @@
 		t.Run(name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			cross := make(chan func(), 1)
+			cross, reads := make(chan func(), 1), make(chan struct{}, 1)
 			l := New(nil, clock.NewManual(1e6), slog.New(slog.NewTextHandler(io.Discard, nil)), httpio.NewStack(), nil, httpio.NewBudget(1))
 			l.SetReady(true)
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan struct{})
-			go func() { defer close(done); _ = l.Serve(ctx, &crossings{ln, cross}) }()
+			go func() { defer close(done); _ = l.Serve(ctx, &crossings{ln, cross, reads}) }()
 			t.Cleanup(func() { cancel(); <-done })
 			dial := func() net.Conn { return dialed(t, ln) }
 
@@ -94,7 +100,7 @@
 				require.NoError(t, talk(client, ask, ready))
 				require.Eventually(t, func() bool { return l.resting() == 1 }, 10*time.Second, time.Millisecond)
 			} else {
-				require.Eventually(t, func() bool { return l.taken() == 1 }, 10*time.Second, time.Millisecond)
+				<-reads // before that it is not waiting, and may be ended without a request
 			}
 			cross <- func() { _, _ = io.WriteString(client, ask) }
 			c.end(l, dial)
