--- a/balance/balance.go
+++ b/balance/balance.go
@@ -381,8 +381,7 @@
 		r.work *= c.work / c.hints
 	}
 	r.aimBy = min(r.answerBy, r.arrived+c.Aim+seconds(max(0, c.Stretch-b.pace())*r.work))
-	r.hopeBy = r.aimBy
-	if c.Late > 0 {
+	if r.hopeBy = r.aimBy; c.Late > 0 {
 		r.hopeBy = r.answerBy
 	}
 }
@@ -421,8 +420,10 @@
 	for i := range r.attempts {
 		b.cancel(r, i)
 	}
-	r.held = false
-	b.held = slices.DeleteFunc(b.held, func(x *request) bool { return x == r })
+	if r.held {
+		r.held = false
+		b.held = slices.DeleteFunc(b.held, func(x *request) bool { return x == r })
+	}
 	b.forget(r)
 }
 
@@ -804,8 +805,7 @@
 // own notes a change of this dispatcher's own work at w.
 func (b *Balancer) own(now time.Duration, w *worker, r *request, n int) {
 	w.own = max(0, w.own+float64(n)*r.slots)
-	w.outs += n
-	r.outs += n
+	w.outs, r.outs = w.outs+n, r.outs+n
 	w.conns = max(w.conns, w.outs)
 	w.mark(now)
 }
