--- a/balance/api.go
+++ b/balance/api.go
@@ -190,6 +190,7 @@
 	Ready State = iota
 	Draining
 	Gone
+	Suspended // listed, and nothing may be sent to it until it is told to be Ready again
 )
 
 // Member is an entry of the worker list.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -284,7 +284,7 @@
 	w := b.workers[m.ID]
 	if w == nil {
 		w = &worker{}
-		if m.State == Ready {
+		if m.State == Ready || m.State == Suspended {
 			b.workers[m.ID] = w
 		}
 	}
@@ -296,7 +296,7 @@
 		}
 	}
 	w.Member, w.gen = *m, b.gen
-	if m.State != Ready {
+	if m.State != Ready && m.State != Suspended {
 		b.unlist(w)
 		return
 	}
@@ -635,7 +635,7 @@
 }
 
 func (b *Balancer) fits(now time.Duration, r *request, w *worker, pass int) bool {
-	return (r.class.Kind == "" || r.class.Kind == w.Kind) &&
+	return w.State == Ready && (r.class.Kind == "" || r.class.Kind == w.Kind) &&
 		(w.Classes == "" || strings.Contains(w.Classes, ","+r.class.Name+",")) &&
 		(len(r.attempts) == 0 || b.maySend(now, r, w)) &&
 		(pass == 2 || now >= w.ejectedTo) && (pass > 0 || now >= r.class.shut[w.ID].until) &&
--- a/cmd/cottonwell/end_test.go
+++ b/cmd/cottonwell/end_test.go
@@ -36,6 +36,7 @@
 // SIGTERM the platform may kill it, and by then what it took has its answer.
 func TestEndsInTimeWhateverOthersDo(t *testing.T) {
 	p := startProgram(t, false)
+	p.answerWatches()
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", p.listen)
 		require.NoError(t, err)
@@ -74,10 +75,12 @@
 // Signals that come again, or that nobody means, neither end the program before its time nor keep it: what it has taken
 // is answered, and it ends with 0. This one runs as a process of its own, on the machine's clock.
 func TestSignalsThatComeAgain(t *testing.T) {
-	discovery, target := listenLoopback(t), listenLoopback(t)
+	list, target := newTestDiscovery(), listenLoopback(t)
+	list.endpoints = []testEndpoint{{Name: "s-1", Address: target.Addr().String(), Zone: "colombo-1", Type: "fast-4", Group: 3, Status: "SERVING", Weight: 1}}
+	discovery := serveLoopback(t, list.handler("n0"))
 	data, err := os.ReadFile("testdata/config.json")
 	require.NoError(t, err)
-	text := strings.NewReplacer("DISCOVERY", discovery.Addr().String(), "5000000", "600000", "7500000", "900000", "TARGETS",
+	text := strings.NewReplacer("DISCOVERY", discovery, "5000000", "600000", "7500000", "900000", "TARGETS",
 		`{"name":"s-1","address":"`+target.Addr().String()+`","zone":"colombo-1","type":"fast-4","group":3,"status":"SERVING","weight":1.0,"since_ms":0}`).Replace(string(data))
 	file := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
--- a/cmd/cottonwell/exchange_test.go
+++ b/cmd/cottonwell/exchange_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -8,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -42,6 +44,7 @@
 	file              string // the configuration that SIGHUP has read again
 	conns             map[string]net.Conn
 	logs              logs
+	heartbeats        chan struct{} // each has the stand-in of discovery give a sign of life; nil: the script plays discovery
 }
 
 // logs keeps what the program logs, to be shown if the script fails.
@@ -147,6 +150,47 @@
 	return p
 }
 
+// answerWatches is discovery for a program whose script does not play it: its list is that of the start, unchanged, and a
+// sign of life comes with each heartbeat.
+func (p *program) answerWatches() {
+	p.heartbeats = make(chan struct{})
+	go func() {
+		c, err := p.lns["discovery"].Accept()
+		if err != nil {
+			return // the test is over
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		list := `{"index":41,"snapshot":false,"endpoints":[]}`
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(list), list); err != nil {
+			return
+		}
+		for {
+			select {
+			case <-p.heartbeats:
+			case <-p.done:
+				return
+			}
+			if _, err := io.WriteString(c, "1\r\n\n\r\n"); err != nil {
+				return
+			}
+		}
+	}()
+	p.until("the first list", func() bool { return p.sched.core.Books().Lists == 2 })
+}
+
+// heartbeat has discovery give a sign of life, if the script does not play it.
+func (p *program) heartbeat() {
+	if p.heartbeats == nil {
+		return
+	}
+	signs := p.sched.core.Books().SignsOfLife
+	p.heartbeats <- struct{}{}
+	p.until("a sign of life", func() bool { return p.sched.core.Books().SignsOfLife > signs })
+}
+
 // refuse closes a listener and keeps its port for as long as this process lives, bound and refusing.
 func refuse(t *testing.T, ln net.Listener) {
 	at := ln.Addr().(*net.TCPAddr)
@@ -281,13 +325,14 @@
 				require.NoError(t, err)
 				p.sched.core.Books() // what was posted, and answered, before now has happened before now
 				p.clock.Advance(ms)
+				p.heartbeat()
 			case "books":
 				n, err := strconv.Atoi(text)
 				require.NoError(t, err)
 				p.until(line, func() bool {
 					b := p.sched.core.Books()
 					return map[string]int{"taken": b.Taken, "left": b.Left, "served": b.Served, "refused": b.Refused, "failed": b.Failed,
-						"sends": b.Sends, "targets": b.Targets, "late": b.Dropped["news of an attempt that is over"], "open": b.Open,
+						"sends": b.Sends, "targets": b.Targets, "lapses": b.Lapses, "signs": b.SignsOfLife, "late": b.Dropped["news of an attempt that is over"], "open": b.Open,
 						"waiting": p.sched.targets.Waiting(), "lists": b.Lists, "list_failures": b.ListFailures, "probes": b.Probes, "answers": b.ProbesEnded, "withheld": b.Withheld}[verb] == n
 				})
 			case "ready": // clients are let in, or not yet
@@ -333,7 +378,11 @@
 			t.Parallel()
 			data, err := os.ReadFile(f)
 			require.NoError(t, err)
-			startProgram(t, strings.HasPrefix(name, "gearman"), changes(string(data))...).play(string(data))
+			p := startProgram(t, strings.HasPrefix(name, "gearman"), changes(string(data))...)
+			if !strings.Contains(string(data), "\ndiscovery") {
+				p.answerWatches()
+			}
+			p.play(string(data))
 		})
 	}
 }
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -35,7 +35,7 @@
 	windFor    = 700.0  // before SIGKILL, to finish what is there
 	lastFor    = 300.0  // before SIGKILL, to answer what is not finished
 	endFor     = 60.0   // before SIGKILL, to end whatever clients do
-	firstFor   = 1000.0 // for the first list of an agent, before clients are let in
+	firstFor   = 1000.0 // for the first list, before clients are let in
 	statsEvery = 10_000.0
 	reserve    = 64 // descriptors kept for discovery, the log and the runtime
 )
@@ -106,7 +106,7 @@
 	peers    *peers.Link     // nil where schedulers may not speak to one another
 	duties   *duties.Host    // nil while that is off
 	killAt   float64         // milliseconds from SIGTERM to SIGKILL, at least
-	pushed   bool            // what discovery's agent has counts as told from the first moment
+	asks     bool            // there is a discovery to be heard
 }
 
 // ruling is a document of the fleet's as the core keeps it.
@@ -139,7 +139,7 @@
 // assemble puts the parts together; nothing runs yet.
 func assemble(cfg *config.Config, op *config.Operator, clk clock.Clock, log *slog.Logger) (*scheduler, error) {
 	stack, inv := httpio.NewStack(), invariant.New()
-	s := &scheduler{log: log, clock: clk, inv: inv, pushed: cfg.Pushed && cfg.Discovery != ""}
+	s := &scheduler{log: log, clock: clk, inv: inv, asks: cfg.Discovery != ""}
 	places := cfg.Limits.Sockets - reserve
 	if op != nil && op.Gearman != nil {
 		places -= op.Gearman.Connections
@@ -152,7 +152,8 @@
 		Sockets: httpio.NewBudget(places * 2 / 5),
 		DialFor: clock.Millis(cfg.Settings.DialTimeout), IdleFor: clock.Millis(cfg.Settings.ConnIdle)})
 	s.watch = discovery.New(discovery.Config{Address: cfg.Discovery, Clock: clk, Log: log, Stack: stack,
-		Held: len(cfg.Known.Endpoints) > 0, From: cfg.Known.Index, Tell: func(g core.Group) { back.List("discovery", g) }})
+		Held: len(cfg.Known.Endpoints) > 0, From: cfg.Known.Index, Tell: func(g core.Group) { back.List("discovery", g) },
+		SignOfLife: func(readAt float64) { back.SignOfLife("discovery", readAt) }})
 	known, err := cfg.Known.TargetGroup()
 	if err != nil {
 		log.Warn("entry of the known list passed over", "cause", err)
@@ -191,7 +192,7 @@
 		}
 	}
 	c := core.Config{Tell: tell, Room: op.Plan(), Settings: cfg.Settings, Seed: cfg.Seed, Clock: clk, Log: log, Invariants: inv,
-		ComeBack: comeBack, Known: map[string]core.Group{"discovery": known}, Freshness: leases(cfg)}
+		ComeBack: comeBack, Known: map[string]core.Group{"discovery": known}, ListLease: listLease(cfg)}
 	if s.duties != nil && op.Fleet.Examiner != nil {
 		c.Doubt, c.Probed = s.duties.Doubt, s.duties.Probed
 	}
@@ -255,8 +256,8 @@
 			}
 		})
 	}
-	if s.pushed {
-		s.await(ctx, s.watch.Heard(), firstFor) // or the first requests might go to targets that drain
+	if s.asks {
+		s.await(ctx, s.watch.Heard(), firstFor) // before the first list nothing can be served
 	}
 	s.listener.SetReady(ctx.Err() == nil)
 	<-ctx.Done()
@@ -342,7 +343,7 @@
 		}
 		b, n, l := s.core.Books(), &s.targets.Counts, &s.listener.Counts
 		s.log.Info("books", "open", b.Open, "taken", b.Taken, "served", b.Served, "refused", b.Refused, "failed", b.Failed,
-			"left", b.Left, "sends", b.Sends, "cancels", b.Cancels, "probes", b.Probes, "withheld", b.Withheld, "lists", b.Lists, "list_failures", b.ListFailures, "outcomes", b.Outcomes, "dropped", b.Dropped,
+			"left", b.Left, "sends", b.Sends, "cancels", b.Cancels, "probes", b.Probes, "withheld", b.Withheld, "lists", b.Lists, "lapses", b.Lapses, "lapsed_ms", b.LapsedFor, "refused_lapsed", b.RefusedLapsed, "list_failures", b.ListFailures, "outcomes", b.Outcomes, "dropped", b.Dropped,
 			"dialled", n.Dialled.Load(), "reused", n.Reused.Load(), "retired", n.Retired.Load(), "unheard", n.Unheard.Load(), "told", told, "heard", heard, "rejected", l.Rejected.Load(), "evicted", l.Evicted.Load(), "spared", l.Spared.Load(), "turned_off", l.TurnedOff.Load(), "unreadable_datagrams", b.Unreadable, "room", b.Room, "invariants", s.inv.Counts())
 	}
 }
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -15,8 +15,11 @@
 	Twice, Full                          int // not admitted: id in use; too many open
 	Sends, Cancels                       int
 	Probes, ProbesEnded                  int            // begun; ended, in whatever way
-	Withheld                             int            // targets that nothing new is sent to, as nothing confirms that they serve
 	Lists, ListFailures                  int            // lists and changes heard; watches that failed
+	SignsOfLife                          int            // on watches, between lists
+	Withheld                             int            // targets that nothing may be sent to, as the lease on the list ran out or they said that they drain
+	Lapses, RefusedLapsed                int            // times that the lease ran out; refusals while it had
+	LapsedFor                            float64        // ms without a lease until it was renewed last, those before the first list included
 	Outcomes                             [8]int         // by balance.Result
 	Dropped                              map[string]int // late news, by what it was
 	Open, Targets                        int
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,7 +8,6 @@
 	"cottonwell/balance"
 	"cottonwell/internal/clock"
 	"cottonwell/internal/decide"
-	"cottonwell/internal/freshness"
 	"cottonwell/internal/invariant"
 	"cottonwell/internal/room"
 )
@@ -37,9 +36,9 @@
 	// Asked counts a tenant's requests for whoever adds them up over the fleet, later tries of a client left
 	// out; nil where nobody does. It may not wait.
 	Asked func(tenant string)
-	// Freshness bounds how long a list is acted on while its source does not answer; nil: for ever. It holds for the
-	// source that has a Watch.
-	Freshness *freshness.Config
+	// ListLease is for how long, in ms, a list is acted on after the last word of its source; 0: for ever. It holds for
+	// the source that has a Watch.
+	ListLease float64
 	// Known is the list as it was held last, by source; the module learns it first.
 	Known map[string]Group
 }
@@ -71,7 +70,7 @@
 	// finished says that the program ends: nothing is taken in any more.
 	finished bool
 	ruling
-	leases
+	listLease
 }
 
 type source struct {
@@ -99,7 +98,7 @@
 	for _, s := range sources {
 		c.sources[s.Name] = &source{Source: s, members: map[string]Target{}}
 	}
-	if err := c.startLeases(cfg.Freshness); err != nil {
+	if err := c.startLease(); err != nil {
 		return nil, err
 	}
 	return c, nil
@@ -175,10 +174,11 @@
 	if e.group.Scope == balance.AskFailed {
 		c.books.ListFailures++
 		c.step(balance.Event{Kind: balance.Listed, List: balance.AskFailed})
-		c.listLost(s, e.group.LastSign)
+		c.listLost(s)
 		return
 	}
 	c.books.Lists++
+	released := e.group.Scope != balance.FromDisk && c.listHeard(s, e.group.ReadAt)
 	if e.group.Scope != balance.Changes {
 		for id := range s.members {
 			delete(c.targets, id)
@@ -210,7 +210,9 @@
 	}
 	s.Transport.Listed(e.group)
 	c.step(ev)
-	c.listHeard(s, e.group.Scope)
+	if released {
+		c.tellWithheld()
+	}
 	if c.cfg.Listed != nil {
 		all := make([]Target, 0, len(c.targets))
 		for id, s := range c.targets {
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -1,23 +1,25 @@
 package core
 
 import (
+	"fmt"
 	"math"
 
 	"cottonwell/balance"
 	"cottonwell/internal/freshness"
 )
 
-// leases is the core's side of the table that says which targets may be sent to while their source does not answer. The
-// table decides; here targets are probed, and the module and the transport are told.
-type leases struct {
-	table  *freshness.Table // nil: lists are acted on for ever
-	leased *source          // the source whose lists are watched
-	ticks  bool             // a timer is set
+// listLease is the core's side of the lease on the list of the source that is watched. The lease decides; here the module
+// and the transport are told.
+type listLease struct {
+	lease    *freshness.Lease // nil: lists are acted on for ever
+	leased   *source          // the source whose list it is
+	ticks    bool             // a timer is set
+	lapsedAt float64          // when it ran out, or the start; counts while it is not valid
 }
 
-// startLeases sets the table up for the source that is watched.
-func (c *Core) startLeases(cfg *freshness.Config) (err error) {
-	if cfg == nil {
+// startLease sets the lease up for the source that is watched.
+func (c *Core) startLease() (err error) {
+	if c.cfg.ListLease <= 0 {
 		return nil
 	}
 	for _, s := range c.sources {
@@ -25,38 +27,55 @@
 			c.leased = s
 		}
 	}
-	c.table, err = freshness.New(*cfg)
+	if c.leased == nil {
+		return fmt.Errorf("a lease on a list that no source is asked for")
+	}
+	c.lapsedAt = c.clock.Now()
+	c.lease, err = freshness.NewLease(c.cfg.ListLease)
 	return err
 }
 
-// listHeard tells the table of a list, or of changes to it.
-func (c *Core) listHeard(s *source, scope balance.ListScope) {
-	if c.table == nil || s != c.leased {
-		return
+// listHeard renews the lease by a list, or by changes to it, before they are taken over. It says whether
+// targets that the list does not name may change by that.
+func (c *Core) listHeard(s *source, readAt float64) (changed bool) {
+	if c.lease == nil || s != c.leased {
+		return false
 	}
-	names := make([]string, 0, len(s.members))
-	for id, t := range s.members {
-		if t.State == balance.Ready {
-			names = append(names, id)
-		}
+	withheld := c.withholds()
+	c.lease.Listed(c.clock.Now(), readAt)
+	c.leaseReviewed()
+	return withheld > 0
+}
+
+// SignOfLife tells that a source gave one on its open watch, and when it was read.
+func (c *Core) SignOfLife(from string, readAt float64) { c.post(signOfLife{from, readAt}) }
+
+type signOfLife struct {
+	from   string
+	readAt float64
+}
+
+func (e signOfLife) apply(c *Core) {
+	c.books.SignsOfLife++
+	if s := c.sources[e.from]; s == nil || c.lease == nil || s != c.leased {
+		return
 	}
-	if now := c.clock.Now(); scope == balance.FromDisk {
-		c.keepLeases(c.table.Loaded(now, names))
-	} else {
-		c.keepLeases(c.table.Heard(now, names))
+	if c.lease.SignOfLife(c.clock.Now(), e.readAt) {
+		c.tellWithheld()
 	}
+	c.leaseReviewed()
 }
 
-// listLost tells the table that a call failed or a watch ended.
-func (c *Core) listLost(s *source, lastSign float64) {
-	if c.table != nil && s == c.leased {
-		c.keepLeases(c.table.Lost(c.clock.Now(), lastSign))
+// listLost tells the lease that a call failed or a watch ended.
+func (c *Core) listLost(s *source) {
+	if c.lease != nil && s == c.leased {
+		c.lease.WatchLost()
 	}
 }
 
-// probeHeard tells the table what came of a probe.
+// probeHeard tells the lease what came of a probe.
 func (c *Core) probeHeard(r ProbeResult) {
-	if c.table == nil || c.targets[r.Target] != c.leased {
+	if c.lease == nil || c.targets[r.Target] != c.leased {
 		return
 	}
 	answer := freshness.Silent
@@ -66,52 +85,74 @@
 	case r.Result == balance.OK:
 		answer = freshness.Serving
 	}
-	c.keepLeases(c.table.Probed(c.clock.Now(), r.SentAt, r.Target, answer))
+	if c.lease.Probed(r.Target, answer) {
+		c.tellWithheld()
+	}
 }
 
-func (c *Core) leasesDue() {
+func (c *Core) leaseDue() {
 	c.ticks = false
-	c.keepLeases(c.table.Due(c.clock.Now(), c.open))
+	if c.lease.Review(c.clock.Now()) {
+		c.tellWithheld()
+	}
+	c.leaseReviewed()
 }
 
-// keepLeases does what the table decided, and asks to be woken for what comes next.
-func (c *Core) keepLeases(actions []freshness.Action) {
-	changed := Group{Scope: balance.Changes}
-	ev := balance.Event{Kind: balance.Listed, List: balance.Changes, Local: true}
-	for _, a := range actions {
-		t, listed := c.leased.members[a.Target]
-		switch {
-		case !listed:
-		case a.Kind == freshness.Probe:
-			c.probe(a.Target)
-		default:
-			t.Member = c.member(t)
-			changed.Targets = append(changed.Targets, t)
-			ev.Members = append(ev.Members, t.Member)
-		}
-	}
-	if len(changed.Targets) > 0 {
-		c.books.Withheld = c.table.Withholds()
-		c.log.Info("leases of targets changed", "targets", len(changed.Targets), "withheld", c.books.Withheld)
-		c.leased.Transport.Listed(changed)
-		c.step(ev)
+// leaseReviewed notes what became of the lease, and asks to be woken at its end.
+func (c *Core) leaseReviewed() {
+	now := c.clock.Now()
+	switch valid := c.lease.Valid(); {
+	case valid && !math.IsInf(c.lapsedAt, 1):
+		c.books.LapsedFor += now - c.lapsedAt
+		c.lapsedAt = math.Inf(1)
+		c.log.Info("lease on the list renewed", "lapsed_ms", c.books.LapsedFor)
+	case !valid && math.IsInf(c.lapsedAt, 1):
+		c.books.Lapses++
+		c.lapsedAt = c.lease.Until()
+		c.log.Warn("lease on the list ran out, nothing is sent until discovery answers", "lasted_ms", c.cfg.ListLease)
 	}
-	if at := c.table.Next(c.clock.Now()); !c.ticks && !math.IsInf(at, 1) {
+	c.books.Withheld = c.withholds()
+	if !c.ticks && c.lease.Valid() {
 		c.ticks = true
-		c.timers.add(timer{at: at, what: leaseTimer})
+		c.timers.add(timer{at: c.lease.Until(), what: leaseTimer})
+	}
+}
+
+// tellWithheld tells the module and the transport which targets may be sent to.
+func (c *Core) tellWithheld() {
+	changed := Group{Scope: balance.Changes}
+	ev := balance.Event{Kind: balance.Listed, List: balance.Changes, Local: true}
+	for _, t := range c.leased.members {
+		t.Member = c.member(t)
+		changed.Targets = append(changed.Targets, t)
+		ev.Members = append(ev.Members, t.Member)
 	}
+	sortMembers(ev.Members)
+	c.books.Withheld = c.withholds()
+	c.leased.Transport.Listed(changed)
+	c.step(ev)
 }
 
-// withheld says whether the table keeps a target from being sent to.
+// withheld says whether the lease keeps a target from being sent to.
 func (c *Core) withheld(target string) bool {
-	return c.table != nil && c.targets[target] == c.leased && c.table.Withheld(target)
+	return c.lease != nil && c.targets[target] == c.leased && c.lease.Withheld(target)
+}
+
+// withholds is how many targets are withheld.
+func (c *Core) withholds() (n int) {
+	for id := range c.leased.members {
+		if c.lease.Withheld(id) {
+			n++
+		}
+	}
+	return n
 }
 
-// leaseEnd is until when an attempt may leave for a target of a source. It is looked at again as the first byte goes, as
-// a connection may be long in coming up, and a process may stand still.
-func (c *Core) leaseEnd(s *source, target string) float64 {
-	if c.table == nil || s == nil || s != c.leased {
+// maySendUntil is until when an attempt may leave for a target of a source. It is looked at again as the first byte goes,
+// as a connection may be long in coming up, and a process may stand still.
+func (c *Core) maySendUntil(s *source, target string) float64 {
+	if c.lease == nil || s == nil || s != c.leased {
 		return math.Inf(1)
 	}
-	return c.table.Until(target)
+	return c.lease.MaySendUntil(target)
 }
--- a/internal/core/leases_test.go
+++ b/internal/core/leases_test.go
@@ -1,78 +1,126 @@
 package core
 
 import (
-	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"cottonwell/balance"
-	"cottonwell/internal/freshness"
 )
 
-// leased is a bench whose source is watched, with leases on its targets a, b, ...; its first list was heard.
+const listLasts = 5700.0
+
+// leased is a bench whose source is watched, with a lease on the list of its targets a, b, ...
 func leased(t *testing.T, targets int) *bench {
 	b := newBench(t, targets)
 	for _, s := range b.core.sources {
 		s.Watch = func() {}
 	}
-	require.NoError(t, b.core.startLeases(&freshness.Config{LeaseFor: 5500, StartFor: 1000, RenewAhead: 1500, RetryAfter: 1000,
-		ProbesAtOnce: 4, Confirmed: 2}))
-	b.do(listed{"test", Group{Scope: balance.Changes}})
+	b.core.cfg.ListLease = listLasts
+	require.NoError(t, b.core.startLease())
+	b.core.tellWithheld() // as they were told of before
+	b.core.route()
 	return b
 }
 
-func (b *bench) lose() {
-	b.do(listed{"test", Group{Scope: balance.AskFailed, LastSign: b.clock.Now()}})
+// hear tells of changes, none, that were just read.
+func (b *bench) hear() {
+	b.do(listed{"test", Group{Scope: balance.Changes, ReadAt: b.clock.Now()}})
+}
+
+func (b *bench) lose() { b.do(listed{"test", Group{Scope: balance.AskFailed}}) }
+
+func (b *bench) serve(id string) {
+	last := b.started[len(b.started)-1]
+	b.do(news{TargetNews{ID: id, From: last.Target, Result: balance.OK}})
+}
+
+// Before discovery's first word nothing goes out, however short the time since the start.
+func TestNothingGoesOutBeforeTheFirstList(t *testing.T) {
+	b := leased(t, 2)
+	b.take("x", "c")
+	require.Empty(t, b.started, "it waits")
+	b.do(probed{ProbeResult{Target: "b", SentAt: b.clock.Now(), Result: balance.OK}})
+	require.Empty(t, b.started, "a target's own word says nothing of the list")
+	b.hear()
+	require.Len(t, b.started, 1)
 }
 
-// Nothing goes to targets whose leases have run out; one that a probe confirms gets what waits, and the next list
-// releases all.
+// Nothing goes out once the lease on the list has run out, and what waits goes out as it is renewed. What the module knows
+// of the targets outlives that.
 func TestNothingGoesOutWithoutALease(t *testing.T) {
 	b := leased(t, 2)
+	b.hear()
 	b.lose()
-	b.pass(5499)
+	b.pass(listLasts - 1)
 	b.take("x", "c")
 	require.Len(t, b.started, 1)
-	b.do(news{TargetNews{ID: "x", From: b.started[0].Target, Result: balance.OK}})
+	b.serve("x")
 	b.pass(2)
 	b.take("y", "c")
 	require.Len(t, b.started, 1, "it waits")
 	require.Equal(t, 2, b.core.books.Withheld)
+	require.Equal(t, 1, b.core.books.Lapses)
 	b.do(probed{ProbeResult{Target: "b", SentAt: b.clock.Now(), Result: balance.OK}})
+	require.Len(t, b.started, 1)
+	b.pass(9)
+	b.hear()
 	require.Len(t, b.started, 2)
-	require.Equal(t, "b", b.started[1].Target)
-	b.do(listed{"test", Group{Scope: balance.Changes}})
 	require.Zero(t, b.core.books.Withheld)
+	require.Equal(t, 10.0, b.core.books.LapsedFor)
+}
+
+// A request that can't be served in time while the lease has run out is refused, and counted so.
+func TestRefusalsWithoutALeaseAreCounted(t *testing.T) {
+	b := leased(t, 1)
+	b.take("x", "c")
+	b.pass(60_000)
+	require.Equal(t, 1, b.core.books.Refused)
+	require.Equal(t, 1, b.core.books.RefusedLapsed)
+}
+
+// An open watch renews the lease by its signs of life, and by nothing else: one that is silent is as good as none.
+func TestSilentWatchLetsTheLeaseRunOut(t *testing.T) {
+	b := leased(t, 1)
+	b.hear()
+	b.pass(2000)
+	b.do(signOfLife{"test", b.clock.Now()})
+	b.pass(listLasts - 1)
+	b.take("x", "c")
+	require.Len(t, b.started, 1)
+	b.serve("x")
+	b.pass(2)
+	b.take("y", "c")
+	require.Len(t, b.started, 1)
+	b.do(signOfLife{"test", b.clock.Now()})
+	require.Len(t, b.started, 2)
 }
 
 // An attempt is told until when it may leave, as its connection may be long in coming up; the class's own bound stays.
 func TestAttemptsEndWithTheirLease(t *testing.T) {
 	b := leased(t, 1)
-	b.take("open", "c")
-	require.True(t, math.IsInf(b.started[0].Latest, 1))
-	b.do(news{TargetNews{ID: "open", From: "a", Result: balance.OK}})
-	lostAt := b.clock.Now()
-	b.lose()
+	b.hear()
+	heardAt := b.clock.Now()
 	b.pass(100)
-	b.take("lost", "c")
-	require.Equal(t, lostAt+5500, b.started[1].Latest)
+	b.take("open", "c")
+	require.Equal(t, heardAt+listLasts, b.started[0].Latest)
 }
 
 // A process that stands still between two steps sends nothing by a lease that ran out meanwhile: it is looked at again as
 // the attempt begins, before any timer has rung.
 func TestLeaseIsLookedAtAsTheAttemptBegins(t *testing.T) {
 	b := leased(t, 1)
-	b.lose()
-	b.clock.Advance(5501)
+	b.hear()
+	b.clock.Advance(listLasts + 1)
 	b.take("x", "c")
 	require.Empty(t, b.started)
 }
 
-// A target that answers a probe as not ready gets nothing while discovery is silent, though its lease runs on. While the
+// A target that answers a probe as not ready gets nothing while discovery is silent, though the lease runs on. While the
 // watch is open the list decides.
 func TestTargetThatIsNotReady(t *testing.T) {
 	b := leased(t, 2)
+	b.hear()
 	notReady := ProbeResult{Target: "a", SentAt: b.clock.Now(), Result: balance.Failed, NotReady: true}
 	b.do(probed{notReady})
 	require.Zero(t, b.core.books.Withheld)
@@ -83,7 +131,7 @@
 	for range 5 {
 		b.take(string(rune('k'+len(b.started))), "c")
 		require.Equal(t, "b", b.started[len(b.started)-1].Target)
-		b.do(news{TargetNews{ID: b.started[len(b.started)-1].ID, From: "b", Result: balance.OK}})
+		b.serve(b.started[len(b.started)-1].ID)
 	}
 	require.Len(t, b.started, 5)
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -49,6 +49,9 @@
 	case balance.Cancel:
 		c.cancel(Ref{a.Request, a.Attempt})
 	case balance.Refuse:
+		if c.lease != nil && !c.lease.Valid() {
+			c.books.RefusedLapsed++
+		}
 		back := clock.Millis(a.After)
 		if back <= 0 {
 			back = c.comeBack(a.Request)
@@ -90,6 +93,6 @@
 	case flowTimer:
 		c.overdue(t.id)
 	case leaseTimer:
-		c.leasesDue()
+		c.leaseDue()
 	}
 }
--- a/internal/core/rules.go
+++ b/internal/core/rules.go
@@ -67,20 +67,28 @@
 		}
 	}
 	if len(ev.Members) > 0 {
-		slices.SortFunc(ev.Members, func(x, y balance.Member) int { return cmp.Compare(x.ID, y.ID) })
+		sortMembers(ev.Members)
 		c.steps = slices.Insert(c.steps, 0, ev)
 	}
 }
 
-// member is a target as the module is told of it: the schedulers' own drains, and leases that have run out, go over
+// member is a target as the module is told of it: the schedulers' own drains, and a lease that has run out, go over
 // its list.
 func (c *Core) member(t Target) balance.Member {
-	if t.State == balance.Ready && (c.rules.drains(&t) || c.withheld(t.ID)) {
+	switch {
+	case t.State != balance.Ready:
+	case c.rules.drains(&t):
 		t.State = balance.Draining
+	case c.withheld(t.ID):
+		t.State = balance.Suspended
 	}
 	return t.Member
 }
 
+func sortMembers(members []balance.Member) {
+	slices.SortFunc(members, func(x, y balance.Member) int { return cmp.Compare(x.ID, y.ID) })
+}
+
 // comeBack is the advice for a request that is refused without any of the module's.
 func (c *Core) comeBack(flow uint64) float64 {
 	if f := c.flows[flow]; f != nil {
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -26,7 +26,7 @@
 	if ok && latest <= 0 {
 		ok = c.inv.Check(false, "repeat-of-unsafe", "flow %d", f.number)
 	}
-	latest = min(latest, c.leaseEnd(s, a.Worker))
+	latest = min(latest, c.maySendUntil(s, a.Worker))
 	if !ok || now >= min(f.deadline, latest) {
 		f.attempts[n].ended, f.attempts[n].result = true, balance.NeverSent
 		c.step(balance.Event{Kind: balance.Ended, Request: f.number, Attempt: n, Worker: a.Worker,
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -16,7 +16,7 @@
 	moduleTimer  timerKind = iota // the module asked for it
 	attemptTimer                  // an attempt's time is over
 	flowTimer                     // the client's patience is over
-	leaseTimer                    // leases of targets are to be looked at
+	leaseTimer                    // the lease on the list is to be looked at
 )
 
 // timers is a heap, the earliest first.
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -121,8 +121,8 @@
 type Group struct {
 	Scope   balance.ListScope
 	Targets []Target
-	// LastSign is when the source last gave a sign of life, on the core's clock; 0: never. It counts for AskFailed.
-	LastSign float64
+	// ReadAt is when its first byte was read, on the core's clock. It counts for what a source that is watched tells.
+	ReadAt float64
 }
 
 // Outcome tells how an attempt ended.
--- a/internal/decide/room.go
+++ b/internal/decide/room.go
@@ -182,6 +182,9 @@
 	}
 	for i := range ev.Members {
 		m := &ev.Members[i]
+		if m.State == balance.Suspended {
+			continue // what is planned there stands, and the module sends nothing meanwhile
+		}
 		if m.State != balance.Ready {
 			d.plan(now, room.Event{Kind: room.Down, Target: m.ID})
 			continue
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -10,161 +10,134 @@
 	"pgregory.net/rapid"
 )
 
-func config() Config {
-	return Config{LeaseFor: 5500, StartFor: 1000, RenewAhead: 1500, RetryAfter: 1000, ProbesAtOnce: 4, Confirmed: 3, Place: 0.5}
-}
+const lasts = 5700.0
 
-func newTable(t require.TestingT, names ...string) *Table {
-	table, err := New(config())
+func newLease(t require.TestingT) *Lease {
+	l, err := NewLease(lasts)
 	require.NoError(t, err)
-	table.Loaded(0, names)
-	return table
-}
-
-func targets(actions []Action, kind ActionKind) (names []string) {
-	for _, a := range actions {
-		if a.Kind == kind {
-			names = append(names, a.Target)
-		}
-	}
-	return names
+	return l
 }
 
-func TestConfigErrors(t *testing.T) {
-	for _, change := range []func(*Config){
-		func(c *Config) { c.LeaseFor = 0 },
-		func(c *Config) { c.StartFor = math.NaN() },
-		func(c *Config) { c.RenewAhead = c.LeaseFor },
-		func(c *Config) { c.RetryAfter = 0 },
-		func(c *Config) { c.ProbesAtOnce = 0 },
-		func(c *Config) { c.Confirmed = 0 },
-		func(c *Config) { c.Place = 1 },
-	} {
-		c := config()
-		change(&c)
-		_, err := New(c)
+func TestImpossibleLeases(t *testing.T) {
+	for _, lasts := range []float64{0, -1, math.NaN(), math.Inf(1)} {
+		_, err := NewLease(lasts)
 		require.Error(t, err)
 	}
 }
 
-// While a watch is open nothing is withheld, however long nothing changes and whatever probes say.
-func TestOpenWatchWithholdsNothing(t *testing.T) {
-	table := newTable(t, "a", "b")
-	require.Empty(t, table.Heard(10, []string{"a", "b"}))
-	require.Empty(t, table.Probed(20, 15, "a", NotReady))
-	require.Empty(t, table.Due(1e9, 0))
-	require.True(t, math.IsInf(table.Until("a"), 1))
-	require.True(t, math.IsInf(table.Next(20), 1))
+// A process that has just started has no word of discovery, whatever list it was given.
+func TestBeginsAsRunOut(t *testing.T) {
+	l := newLease(t)
+	require.False(t, l.Review(0))
+	require.True(t, l.Withheld("a"))
+	require.Less(t, l.MaySendUntil("a"), 0.0)
+	l.Listed(10, 5)
+	require.False(t, l.Withheld("a"))
+	require.Equal(t, 5+lasts, l.MaySendUntil("a"))
 }
 
-// A lease runs from the last sign of life, not from when the loss was noticed; what is told after it is news of before.
-func TestLeaseRunsFromTheLastSignOfLife(t *testing.T) {
-	table := newTable(t, "a", "b")
-	table.Heard(10, []string{"a", "b"})
-	require.Empty(t, table.Lost(3500, 1000))
-	require.Equal(t, 6500.0, table.Until("a"))
-	require.Empty(t, targets(table.Due(6499, 0), Withhold))
-	require.Equal(t, []string{"a", "b"}, targets(table.Due(6500, 0), Withhold))
-	require.True(t, table.Withheld("a"))
-	// Calls that fail change nothing, and the next list releases all that it names.
-	require.Empty(t, table.Lost(8000, 1000))
-	require.Equal(t, []string{"a"}, targets(table.Heard(9000, []string{"a", "c"}), Release))
-	require.Equal(t, math.Inf(-1), func() float64 { table.Lost(9100, 9000); return table.Until("b") }(), "it left the list")
+// A lease runs from when discovery's word was read, not from when it was told, and words out of turn shorten nothing. An
+// open watch that is silent renews nothing.
+func TestLeaseRunsFromWhenTheWordWasRead(t *testing.T) {
+	l := newLease(t)
+	l.Listed(1000, 10)
+	require.False(t, l.SignOfLife(2100, 2000))
+	require.Equal(t, 2000+lasts, l.Until())
+	require.False(t, l.SignOfLife(2200, 1500))
+	require.Equal(t, 2000+lasts, l.Until())
+	require.False(t, l.Review(1999+lasts))
+	require.True(t, l.Review(2000+lasts))
+	require.True(t, l.Withheld("a"))
+	require.False(t, l.SignOfLife(9000, 2100), "it was read too long ago")
+	require.True(t, l.SignOfLife(9000, 8990))
+	require.False(t, l.Withheld("a"))
+	// A call that fails changes nothing.
+	l.WatchLost()
+	require.Equal(t, 8990+lasts, l.MaySendUntil("a"))
 }
 
-// A new process trusts the list that it holds while its first call is under way, for a while; a call that fails ends that.
-func TestListFromDisk(t *testing.T) {
-	table := newTable(t, "a", "b")
-	require.Empty(t, table.Due(999, 0), "nor is anything probed, as the answer is on the way")
-	require.Len(t, targets(table.Due(1000, 0), Withhold), 2)
-	table = newTable(t, "a", "b")
-	require.Len(t, targets(table.Lost(20, 0), Withhold), 2)
+// A probe never renews the lease, and takes a target away that says that it drains, while no watch is open.
+func TestProbesOnlyTakeAway(t *testing.T) {
+	l := newLease(t)
+	l.Listed(0, 0)
+	require.False(t, l.Probed("a", NotReady), "the list decides while the watch is open")
+	l.WatchLost()
+	require.False(t, l.Probed("b", Serving))
+	require.False(t, l.Probed("b", Silent), "silence says nothing of a drain")
+	require.True(t, l.Probed("a", NotReady))
+	require.False(t, l.Probed("a", NotReady))
+	require.True(t, l.Withheld("a"))
+	require.Less(t, l.MaySendUntil("a"), 0.0)
+	require.False(t, l.Withheld("b"))
+	require.True(t, l.Probed("a", Serving))
+	require.False(t, l.Withheld("a"))
+	require.True(t, l.Review(lasts))
+	require.False(t, l.Probed("a", Serving))
+	require.True(t, l.Withheld("a"), "the list may have lost it meanwhile")
+	require.True(t, l.Probed("b", NotReady))
+	l.Listed(9000, 9000)
+	require.False(t, l.Withheld("b"), "the list names it")
 }
 
-// A probe that is answered as ready renews one target's lease, from when it was sent; one that is not withholds it.
-func TestProbesConfirmAndWithhold(t *testing.T) {
-	table := newTable(t, "a", "b", "c")
-	table.Heard(0, []string{"a", "b", "c"})
-	table.Lost(100, 100)
-	require.Equal(t, []string{"a"}, targets(table.Probed(300, 290, "a", NotReady), Withhold))
-	require.Empty(t, targets(table.Probed(400, 380, "b", Silent), Withhold), "silence says nothing of a drain")
-	require.Equal(t, []string{"a"}, targets(table.Probed(900, 890, "a", Serving), Release))
-	table.Probed(5000, 4000, "b", Serving)
-	require.Equal(t, 9500.0, table.Until("b"))
-	require.Equal(t, []string{"c"}, targets(table.Due(6000, 0), Withhold))
-	require.Equal(t, []string{"a"}, targets(table.Due(6390, 0), Withhold), "its probe was sent at 890")
-	require.Empty(t, table.Probed(6400, 6390, "unknown", Serving))
-}
-
-// Leases of the nearest targets are renewed before they run out, a few probes at a time, and more with more requests.
-func TestRenewsInTime(t *testing.T) {
-	var names []string
-	for i := range 20 {
-		names = append(names, fmt.Sprintf("t%02d", i))
-	}
-	table := newTable(t, names...)
-	table.Heard(0, names)
-	table.Lost(100, 100)
-	require.Empty(t, table.Due(4000, 0), "not yet")
-	require.Equal(t, []string{"t10", "t11"}, targets(table.Due(4100, 0), Probe))
-	require.Equal(t, []string{"t09"}, targets(table.Due(4150, 0), Probe))
-	require.Empty(t, table.Due(4200, 0), "three are wanted")
-	require.Equal(t, []string{"t12"}, targets(table.Due(4250, 2), Probe), "four may be out")
-	table.Probed(4300, 4100, "t10", Serving)
-	table.Probed(4300, 4100, "t11", Silent)
-	require.Equal(t, []string{"t08", "t13"}, targets(table.Due(4300, 2), Probe), "in place of the silent one")
-	require.Len(t, targets(table.Due(5600, 2), Withhold), 19, "all but the one that answered")
-	require.Equal(t, 9600.0, table.Until("t10"))
-}
-
-// drainRule is the rule on drains as the platform counts it: a change counts as told 6 s after discovery had it and could
-// be reached, or at once where it was told.
+// The rule on drains as the platform counts it: a change counts as told 6 s after discovery had it and could be reached,
+// or at once where it was told.
 const (
 	countsAfter = 6000.0
 	grace       = 250.0
 )
 
 // Nothing is sent against the rule on drains, whatever discovery does: outages of any length, calls that are refused,
-// time out and succeed, watches that fall silent, restarts, lost probes, and targets that begin to drain at any moment.
-// And a scheduler that can probe is never without a target for long while one serves.
+// time out and succeed, watches that fall silent, restarts, and targets that drain or leave the list at any moment and
+// answer probes all the same. And a list that is fresh is always served by.
 func TestDrainRuleHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		broken, starved := playDrains(rng, rightProgram())
+		broken, idle := playDrains(rng, rightProgram())
 		require.Zero(t, broken)
-		require.Less(t, starved, 3000.0, "ms without any target although one serves")
+		require.Zero(t, idle, "steps without any target although discovery's word is fresh")
 	})
 }
 
-// program is how a scheduler uses its table.
+// program is how a scheduler uses its lease.
 type program struct {
-	cfg      Config
-	maySend  func(table *Table, name string, now float64) bool
-	lastSign func(now, sign float64) float64 // what it tells the table of the last sign of life
+	lasts   float64
+	maySend func(l *Lease, name string, now float64) bool
+	// probed and failed are told besides of a probe that was answered as serving, and of a call that failed.
+	probed, failed func(l *Lease, now float64)
+	// started is told of the list that the process starts with.
+	started func(l *Lease, now float64)
 }
 
 func rightProgram() program {
-	return program{
-		cfg:      config(),
-		maySend:  func(table *Table, name string, now float64) bool { return now < table.Until(name) },
-		lastSign: func(_, sign float64) float64 { return sign },
-	}
+	nothing := func(*Lease, float64) {}
+	return program{lasts: lasts, probed: nothing, failed: nothing, started: nothing,
+		maySend: func(l *Lease, name string, now float64) bool { return now < l.MaySendUntil(name) }}
 }
 
-// The checker finds programs that break the rule: one that goes on with its list while discovery is silent, one whose
-// leases are longer than the time after which a change counts as told, and one that takes a failed call for news.
+// The checker finds programs that break the rule: one that goes on with its list while discovery is silent, one that does
+// so while a watch is open, one whose leases are longer than the time after which a change counts as told, and those that
+// take a probe, a failed call or the list of the start for discovery's word.
 func TestCheckerFindsWrongVariants(t *testing.T) {
-	goesOn, longLeases, failedCalls := rightProgram(), rightProgram(), rightProgram()
-	goesOn.maySend = func(*Table, string, float64) bool { return true }
-	longLeases.cfg.LeaseFor = countsAfter + 1500
-	failedCalls.lastSign = func(now, _ float64) float64 { return now }
-	for name, wrong := range map[string]program{"goes on": goesOn, "long leases": longLeases, "failed calls": failedCalls} {
-		broken := 0
-		for seed := range uint64(200) {
+	renews := func(l *Lease, now float64) { l.renew(now) }
+	variants := map[string]func(*program){
+		"goes on": func(p *program) { p.maySend = func(*Lease, string, float64) bool { return true } },
+		"trusts an open watch": func(p *program) {
+			p.maySend = func(l *Lease, name string, now float64) bool { return l.watching || now < l.MaySendUntil(name) }
+		},
+		"long leases":  func(p *program) { p.lasts = countsAfter + 1500 },
+		"probes":       func(p *program) { p.probed = renews },
+		"failed calls": func(p *program) { p.failed = renews },
+		"first list":   func(p *program) { p.started = renews },
+	}
+	for name, change := range variants {
+		wrong, broken := rightProgram(), 0
+		change(&wrong)
+		for seed := range uint64(300) {
 			n, _ := playDrains(rand.New(rand.NewPCG(seed, 1)), wrong)
 			broken += n
 		}
 		require.Positive(t, broken, name)
+		t.Log(name, broken)
 	}
 }
 
@@ -172,133 +145,136 @@
 type world struct {
 	rng      *rand.Rand
 	names    []string
-	drainAt  map[string]float64 // when each begins to drain
-	told     map[string]bool    // that it drains, to this scheduler
+	leftAt   map[string]float64 // when each drains or leaves the list
+	honest   map[string]bool    // it answers probes as not ready then
+	toldAt   map[string]float64 // this scheduler
 	reached  bool               // discovery can be reached
 	upSince  float64            // since when, for the last time
 	watching bool
-	sign     float64 // the last sign of life on the watch
+	silent   bool // the open watch is
+	wordAt   float64
+}
+
+func newWorld(rng *rand.Rand) *world {
+	w := &world{rng: rng, leftAt: map[string]float64{}, honest: map[string]bool{}, toldAt: map[string]float64{},
+		reached: rng.IntN(2) == 0, upSince: -1e6, wordAt: math.Inf(-1)}
+	for i := range 12 {
+		name := fmt.Sprintf("t%02d", i)
+		w.names = append(w.names, name)
+		w.leftAt[name], w.honest[name] = math.Inf(1), rng.IntN(2) == 0
+		if i > 3 { // some stay to the end, and some left before the process began
+			w.leftAt[name] = -10_000 + 70_000*rng.Float64()
+		}
+	}
+	return w
+}
+
+// tell has the scheduler told of all that discovery knows.
+func (w *world) tell(now float64) {
+	w.wordAt = now
+	for _, name := range w.names {
+		if _, told := w.toldAt[name]; !told && now >= w.leftAt[name] {
+			w.toldAt[name] = now
+		}
+	}
 }
 
-// serving is what discovery's list names as serving, and notes what is told by it.
-func (w *world) list(now float64) (serving []string) {
+// untold says whether discovery has a change of which the scheduler was not told.
+func (w *world) untold(now float64) bool {
 	for _, name := range w.names {
-		if now < w.drainAt[name] {
-			serving = append(serving, name)
-		} else {
-			w.told[name] = true
+		if _, told := w.toldAt[name]; !told && now >= w.leftAt[name] {
+			return true
 		}
 	}
-	return serving
+	return false
 }
 
 // breaks says whether a send to a target at a time is against the rule. While discovery is down nothing counts anew.
-func (w *world) breaks(now float64, name string, toldAt map[string]float64) bool {
-	drained := w.drainAt[name]
-	if now < drained {
+func (w *world) breaks(now float64, name string) bool {
+	left := w.leftAt[name]
+	if now < left {
 		return false
 	}
 	counts := math.Inf(1)
 	if w.reached {
-		counts = max(drained, w.upSince) + countsAfter
+		counts = max(left, w.upSince) + countsAfter
 	}
-	if at, told := toldAt[name]; told {
+	if at, told := w.toldAt[name]; told {
 		counts = min(counts, at)
 	}
 	return now > counts+grace
 }
 
-// playDrains plays a minute and returns how many sends broke the rule and the longest time without a target.
-func playDrains(rng *rand.Rand, p program) (broken int, starved float64) {
+// playDrains plays a minute and returns how many sends broke the rule, and in how many steps nothing could be sent although
+// discovery's word was fresh.
+func playDrains(rng *rand.Rand, p program) (broken, idle int) {
 	const step = 25.0
-	w := &world{rng: rng, drainAt: map[string]float64{}, told: map[string]bool{}, reached: rng.IntN(2) == 0, upSince: -1e6}
-	for i := range 12 {
-		name := fmt.Sprintf("t%02d", i)
-		w.names = append(w.names, name)
-		w.drainAt[name] = math.Inf(1)
-		if i > 3 { // some serve to the end
-			w.drainAt[name] = 60_000 * rng.Float64()
-		}
-	}
-	toldAt := map[string]float64{}
-	table, err := New(p.cfg)
+	w := newWorld(rng)
+	l, err := NewLease(p.lasts)
 	if err != nil {
 		panic(err)
 	}
-	table.Loaded(0, w.names)
-	type answer struct {
-		at, sentAt float64
-		name       string
-	}
-	var answers []answer
-	probe := func(now float64, actions []Action) {
-		for _, name := range targets(actions, Probe) {
-			answers = append(answers, answer{now + 2 + 400*rng.Float64()*rng.Float64(), now, name})
-		}
-	}
-	callEnds, lastServed := 20+2000*rng.Float64(), 0.0
+	p.started(l, 0)
+	callEnds := 20 + 2000*rng.Float64()
 	for now := 0.0; now < 60_000; now += step {
-		if rng.Float64() < step/9000 {
+		if rng.Float64() < step/15_000 {
 			if w.reached = !w.reached; w.reached {
 				w.upSince = now
 			}
 		}
 		switch {
-		case w.watching && (!w.reached || rng.Float64() < step/20_000): // it breaks, or has fallen silent
-			w.watching, callEnds = false, now+300+2500*rng.Float64()
-			probe(now, table.Lost(now, p.lastSign(now, w.sign)))
-		case w.watching:
-			w.sign = now
-			for _, name := range w.names {
-				if _, told := toldAt[name]; !told && now >= w.drainAt[name] {
-					toldAt[name] = now
-					probe(now, table.Heard(now, w.list(now)))
-				}
+		case w.watching && (!w.reached || rng.Float64() < step/20_000): // it breaks at once, or falls silent first
+			w.silent = w.silent || rng.IntN(2) == 0
+			if !w.silent || rng.Float64() < step/3500 {
+				w.watching, w.silent, callEnds = false, false, now+300+2500*rng.Float64()
+				l.WatchLost()
+				p.failed(l, now)
 			}
-		case now >= callEnds && w.reached && rng.IntN(3) > 0:
-			w.watching, w.sign = true, now
-			serving := w.list(now)
-			for name := range w.told {
-				if _, told := toldAt[name]; !told {
-					toldAt[name] = now
-				}
+		case w.watching && w.silent:
+			if rng.Float64() < step/3500 {
+				w.watching, w.silent, callEnds = false, false, now+300+2500*rng.Float64()
+				l.WatchLost()
 			}
-			probe(now, table.Heard(now, serving))
+		case w.watching && w.untold(now):
+			w.tell(now)
+			l.Listed(now, now)
+		case w.watching && rng.Float64() < step/2000:
+			w.wordAt = now
+			l.SignOfLife(now, now)
+		case w.watching:
+		case now >= callEnds && w.reached && rng.IntN(2) == 0:
+			w.watching = true
+			w.tell(now)
+			l.Listed(now, now)
 		case now >= callEnds:
 			callEnds = now + 2000 + 8000*rng.Float64()
-			probe(now, table.Lost(now, p.lastSign(now, w.sign)))
-		}
-		rest := answers[:0]
-		for _, a := range answers {
-			if a.at > now {
-				rest = append(rest, a)
-				continue
-			}
-			what := Serving
-			if a.sentAt >= w.drainAt[a.name] {
-				what = NotReady
-			}
-			if rng.IntN(20) == 0 {
-				what = Silent
-			}
-			probe(now, table.Probed(now, a.sentAt, a.name, what))
+			l.WatchLost()
+			p.failed(l, now)
 		}
-		answers = rest
-		if now >= table.Next(now)-ReviewEvery {
-			probe(now, table.Due(now, 2))
+		name := w.names[rng.IntN(len(w.names))]
+		switch {
+		case rng.IntN(20) == 0:
+			l.Probed(name, Silent)
+		case now >= w.leftAt[name] && w.honest[name]:
+			l.Probed(name, NotReady)
+		default:
+			l.Probed(name, Serving)
+			p.probed(l, now)
 		}
+		l.Review(now)
+		served := false
 		for _, name := range w.names {
-			if _, told := toldAt[name]; told && w.watching || !p.maySend(table, name, now) {
+			if _, told := w.toldAt[name]; told || !p.maySend(l, name, now) {
 				continue
 			}
-			if now < w.drainAt[name] {
-				lastServed = now
-			}
-			if w.breaks(now, name, toldAt) {
+			served = served || now < w.leftAt[name]
+			if w.breaks(now, name) {
 				broken++
 			}
 		}
-		starved = max(starved, now-lastServed)
+		if !served && now < w.wordAt+p.lasts {
+			idle++
+		}
 	}
-	return broken, starved
+	return broken, idle
 }
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -35,9 +35,6 @@
 	asked chan struct{}
 	heard chan struct{} // closed at the first sign of life
 	first sync.Once
-	// lastSign is when discovery last gave a sign of life on a watch that had told its first list, in ms on Clock; 0:
-	// never. Run's goroutine has it.
-	lastSign float64
 
 	mu     sync.Mutex
 	moved  bool               // Address is new, and nobody has been asked there yet
@@ -52,6 +49,8 @@
 	Stack   *httpio.Stack
 	// Tell receives every list, and an AskFailed after each watch that failed or ended.
 	Tell func(core.Group)
+	// SignOfLife receives when one was read on a watch whose first list has come. Nil: nobody wants to know.
+	SignOfLife func(readAt float64)
 	// Held says that a list is held at the start, and From is its version, which may be 0. Only what
 	// changed since is asked for then: the whole list costs discovery work for each line, and after
 	// a release all schedulers ask at once.
@@ -133,7 +132,7 @@
 			continue // Move has asked already
 		}
 		w.Log.Warn("watch ended", "discovery", address, "index", w.From, "lasted_ms", w.Clock.Now()-asked, "cause", err)
-		w.Tell(core.Group{Scope: balance.AskFailed, LastSign: w.lastSign})
+		w.Tell(core.Group{Scope: balance.AskFailed})
 	}
 }
 
@@ -168,7 +167,7 @@
 		return fmt.Errorf("answer: status %d", resp.StatusCode)
 	}
 	w.Log.Info("watch open", "discovery", address, "held", w.Held, "from", w.From)
-	beat := &pulse{r: resp.Body, alive: func() error {
+	beat := &pulse{r: resp.Body, now: w.Clock.Now, alive: func() error {
 		c.Grant()
 		return c.SetReadDeadline(w.Clock.Deadline(quietFor))
 	}}
@@ -178,8 +177,8 @@
 	listed := false // before the first list, a sign of life says nothing of what the list has missed
 	beat.beats = func() {
 		w.first.Do(func() { close(w.heard) })
-		if listed {
-			w.lastSign = w.Clock.Now()
+		if listed && w.SignOfLife != nil {
+			w.SignOfLife(beat.readAt)
 		}
 	}
 	for lists := json.NewDecoder(beat); ; {
@@ -195,6 +194,7 @@
 			}
 			return err // the stream's: what has come of a list is nothing, and is told again
 		}
+		begunAt := beat.begunAt
 		ahead, _ := io.ReadAll(lists.Buffered())
 		if err := beat.whole(len(bytes.TrimSpace(ahead)) > 0); err != nil {
 			return err
@@ -205,9 +205,10 @@
 		}
 		w.Held, w.From = true, l.Index
 		w.Log.Info("list", "index", l.Index, "whole", l.Snapshot, "targets", len(l.Endpoints))
+		g.ReadAt = begunAt
 		w.Tell(g)
+		w.first.Do(func() { close(w.heard) })
 		listed = true
-		beat.beats()
 	}
 }
 
@@ -216,16 +217,26 @@
 // that does not come whole in time is as good as silence.
 type pulse struct {
 	r      io.Reader
+	now    func() float64
 	alive  func() error
-	beats  func() // called at a sign of life that is no list
-	within bool   // an object has begun
-	failed error  // of the stream
+	beats  func()  // called at a sign of life that is no list
+	within bool    // an object has begun
+	readAt float64 // when anything was read last, in ms
+	// begunAt is when the first byte of the latest object was read, in ms: what it says was true then, however long the
+	// rest took.
+	begunAt float64
+	failed  error // of the stream
 }
 
 func (p *pulse) Read(b []byte) (int, error) {
 	n, err := p.r.Read(b)
+	if n > 0 {
+		p.readAt = p.now()
+	}
 	if n > 0 && !p.within && err == nil {
-		if p.within = len(bytes.TrimSpace(b[:n])) > 0; !p.within {
+		if p.within = len(bytes.TrimSpace(b[:n])) > 0; p.within {
+			p.begunAt = p.readAt
+		} else {
 			p.beats()
 		}
 		err = p.alive()
@@ -236,6 +247,8 @@
 
 // whole notes that an object has come whole, and whether the next one has begun.
 func (p *pulse) whole(begun bool) error {
-	p.within = begun
+	if p.within = begun; begun {
+		p.begunAt = p.readAt
+	}
 	return p.alive()
 }
--- a/internal/net/discovery/stream_test.go
+++ b/internal/net/discovery/stream_test.go
@@ -208,32 +208,35 @@
 	}
 }
 
-// The failure of a watch tells of the last sign of life, not of when it was noticed. What comes before the first list of
-// a watch is none: what the list has missed until then is not known.
-func TestFailureTellsOfTheLastSignOfLife(t *testing.T) {
+// What a watch says is dated by when it was read: a list by its first byte, however long the rest takes, and an empty line
+// as a sign of life. What comes before the first list of a watch is none, as what the list has missed until then is
+// not known; nor is the failure of a watch.
+func TestWordsOfAWatchAreDated(t *testing.T) {
 	s := newStand(t)
-	fails := func(c net.Conn) float64 {
-		c.Close()
-		g := <-s.groups
-		require.Equal(t, balance.AskFailed, g.Scope)
-		return g.LastSign
+	signs := make(chan float64, 9)
+	s.w.SignOfLife = func(readAt float64) { signs <- readAt }
+	reads := func(what string, write func()) {
+		asked := s.clk.asked()
+		write()
+		require.Eventually(t, func() bool { return s.clk.asked() > asked }, 10*time.Second, time.Millisecond, what)
 	}
 	s.w.Watch()
 	_, chunk, c := s.open()
-	chunk("\n")
-	require.Zero(t, fails(c), "a watch without a list")
-	s.w.Watch()
-	_, chunk, c = s.open()
+	reads("an empty line before the list", func() { chunk("\n") })
 	s.clk.Advance(99)
-	chunk(s.list(42))
-	<-s.groups
-	asked := s.clk.asked()
+	reads("half a list", func() { chunk(s.list(42)[:20]) })
 	s.clk.Advance(900)
+	chunk(s.list(42)[20:] + s.list(43)[:20])
+	require.Equal(t, 100.0, (<-s.groups).ReadAt)
+	s.clk.Advance(500)
+	chunk(s.list(43)[20:])
+	require.Equal(t, 1000.0, (<-s.groups).ReadAt, "it began with the end of the one before")
+	require.Empty(t, signs)
+	s.clk.Advance(250)
 	chunk("\n")
-	require.Eventually(t, func() bool { return s.clk.asked() > asked }, 10*time.Second, time.Millisecond, "the empty line was read")
+	require.Equal(t, 1750.0, <-signs)
 	s.clk.Advance(5000)
-	require.Equal(t, 1000.0, fails(c))
-	s.w.Watch()
-	_, _, c = s.open()
-	require.Equal(t, 1000.0, fails(c), "a call that failed says nothing new")
+	c.Close()
+	require.Equal(t, balance.AskFailed, (<-s.groups).Scope)
+	require.Empty(t, signs)
 }
