Read the old watch on while SIGHUP moves discovery, until the new address has answered

Cause: at SIGHUP the old watch was closed at once. A change that discovery wrote in that moment counts as told, and was thrown away unread; the new address had not answered. The log shows the reload and the removal in the same millisecond.

Change: the watch of the old address is read on until the first list of the new one; its changes are told, its signs of life are not, as it no longer has a say in what is listed. Then it ends before that list is told.

--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -4,13 +4,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
 	"log/slog"
-	"net"
-	"strconv"
 	"sync"
 
 	"cottonwell/balance"
@@ -27,18 +22,19 @@
 	quietFor = 3500.0
 )
 
-// Watcher holds at most one watch open. It does not try again by itself: it tells of
-// the failure, and whoever listens asks anew when it sees fit. (The decision module
-// does so with a jittered backoff that doubles.)
+// Watcher holds at most one watch open, and while it moves the one before beside it. It does not try again by itself: it
+// tells of the failure, and whoever listens asks anew when it sees fit. (The decision module does so with a jittered
+// backoff.)
 type Watcher struct {
 	Config
 	asked chan struct{}
 	heard chan struct{} // closed at the first sign of life
 	first sync.Once
 
-	mu     sync.Mutex
-	moved  bool               // Address is new, and nobody has been asked there yet
-	cancel context.CancelFunc // ends the watch that is open, or nil
+	mu       sync.Mutex
+	moved    bool   // Address is new, and nobody has been asked there yet
+	current  *watch // the one that was begun last, if it has not ended
+	previous *watch // of the address before, until the new one has answered
 }
 
 // Config is what a watcher is made from.
@@ -61,7 +57,9 @@
 // Move goes to another address and asks there at once, without waiting for the module's
 // next try. What is known of the targets holds until the new address answers. It is asked
 // for the whole list: versions are counted by whoever gave them, and nobody says that the
-// new address counts on from the old one's.
+// new address counts on from the old one's. Until it has answered, what the old address still
+// tells is told on, as a change counts from when it was written; its signs of life are not, as it has
+// no say any more in what is listed.
 func (w *Watcher) Move(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -69,33 +67,12 @@
 		return
 	}
 	w.Address, w.moved = address, true
-	if w.cancel != nil {
-		w.cancel()
+	if w.current != nil {
+		w.current.leave()
 	}
 	w.Watch()
 }
 
-// begin says where the next watch goes and from which version on. The context it returns
-// ends when the watcher moves.
-func (w *Watcher) begin(ctx context.Context) (context.Context, string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.moved {
-		w.moved, w.Held, w.From = false, false, 0
-	}
-	ctx, w.cancel = context.WithCancel(ctx)
-	return ctx, w.Address
-}
-
-// end says whether the watch ended because the watcher moves.
-func (w *Watcher) end() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cancel()
-	w.cancel = nil
-	return w.moved
-}
-
 // Watch asks for a watch. It does not block; while one is open it does nothing.
 func (w *Watcher) Watch() {
 	select {
@@ -114,102 +91,62 @@
 
 // Run holds the watches that are asked for, until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-w.asked:
 		}
-		inner, address := w.begin(ctx)
-		asked := w.Clock.Now()
-		err := w.once(inner, address)
-		moves := w.end()
+		x := w.begin(ctx)
+		all.Go(func() {
+			defer close(x.ended)
+			x.err = x.run()
+		})
+		select {
+		case <-x.ended:
+		case <-x.left:
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		if moves {
-			w.Log.Info("watch moves", "from", address)
-			continue // Move has asked already
-		}
-		w.Log.Warn("watch ended", "discovery", address, "index", w.From, "lasted_ms", w.Clock.Now()-asked, "cause", err)
-		w.Tell(core.Group{Scope: balance.AskFailed})
+		w.end(x)
 	}
 }
 
-// once holds one watch until it ends, and says why it did.
-func (w *Watcher) once(ctx context.Context, address string) error {
-	if address == "" {
-		return errors.New("no address")
-	}
-	d := net.Dialer{Timeout: clock.Duration(dialFor)}
-	nc, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("connect: %w", err)
-	}
-	defer nc.Close()
-	defer context.AfterFunc(ctx, func() { nc.Close() })()
-	c := w.Stack.Wrap(nc)
-	path := "/discovery/hosts?watch=1"
-	if w.Held {
-		path += "&from=" + strconv.FormatUint(w.From, 10)
-	}
-	buf := c.Buffer()
-	defer c.Done(buf)
-	if _, err := c.Send(httpio.Start(buf, "GET ", path, " HTTP/1.1").Field("Host", address), nil, w.Clock.Deadline(dialFor)); err != nil {
-		return fmt.Errorf("ask: %w", err)
-	}
-	resp, err := c.Stream("GET", w.Clock.Deadline(firstFor))
-	if err != nil {
-		return fmt.Errorf("answer: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != 200 {
-		return fmt.Errorf("answer: status %d", resp.StatusCode)
-	}
-	w.Log.Info("watch open", "discovery", address, "held", w.Held, "from", w.From)
-	beat := &pulse{r: resp.Body, now: w.Clock.Now, alive: func() error {
-		c.Grant()
-		return c.SetReadDeadline(w.Clock.Deadline(quietFor))
-	}}
-	if err := beat.alive(); err != nil {
-		return err
-	}
-	listed := false // before the first list, a sign of life says nothing of what the list has missed
-	beat.beats = func() {
-		w.first.Do(func() { close(w.heard) })
-		if listed && w.SignOfLife != nil {
-			w.SignOfLife(beat.readAt)
-		}
-	}
-	for lists := json.NewDecoder(beat); ; {
-		var l List
-		if err := lists.Decode(&l); err != nil {
-			if errors.Is(err, io.EOF) {
-				return errors.New("the stream ended")
-			}
-			if beat.failed == nil {
-				// What this object changed is lost: only the whole list can mend that.
-				w.Held, w.From = false, 0
-				return fmt.Errorf("a list that cannot be read: %w", err)
-			}
-			return err // the stream's: what has come of a list is nothing, and is told again
-		}
-		begunAt := beat.begunAt
-		ahead, _ := io.ReadAll(lists.Buffered())
-		if err := beat.whole(len(bytes.TrimSpace(ahead)) > 0); err != nil {
-			return err
-		}
-		g, err := l.TargetGroup()
-		if err != nil {
-			w.Log.Warn("list entry passed over", "cause", err)
-		}
-		w.Held, w.From = true, l.Index
-		w.Log.Info("list", "index", l.Index, "whole", l.Snapshot, "targets", len(l.Endpoints))
-		g.ReadAt = begunAt
-		w.Tell(g)
-		w.first.Do(func() { close(w.heard) })
-		listed = true
+// begin makes the next watch.
+func (w *Watcher) begin(ctx context.Context) *watch {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.moved {
+		w.moved, w.Held, w.From = false, false, 0
 	}
+	x := &watch{Watcher: w, address: w.Address, held: w.Held, from: w.From, askedAt: w.Clock.Now(), left: make(chan struct{}), ended: make(chan struct{})}
+	x.ctx, x.cancel = context.WithCancel(ctx)
+	w.current = x
+	return x
+}
+
+// end takes note that a watch has ended, or that the watcher has moved away from it.
+func (w *Watcher) end(x *watch) {
+	w.mu.Lock()
+	moves := w.moved
+	w.current = nil
+	if moves && x.listed && w.previous == nil {
+		w.previous = x
+	} else {
+		x.cancel()
+	}
+	w.mu.Unlock()
+	if moves {
+		w.Log.Info("watch moves", "from", x.address)
+		return // Move has asked already
+	}
+	w.Log.Warn("watch ended", "discovery", x.address, "index", w.From, "lasted_ms", w.Clock.Now()-x.askedAt, "cause", x.err)
+	w.Tell(core.Group{Scope: balance.AskFailed})
 }
 
 // pulse passes on a stream of lists, one JSON object after the other in any layout, with white space between, and
--- a/internal/net/discovery/stream_test.go
+++ b/internal/net/discovery/stream_test.go
@@ -182,6 +182,39 @@
 	require.Equal(t, "t7", (<-s.groups).Targets[0].ID)
 }
 
+// Crossing: discovery tells of a change in the moment in which SIGHUP moves it. What was written counts, so the old watch is
+// read until the new address has answered; it is no sign of life, and after that answer nothing of it is told.
+func TestChangeThatCrossesTheMove(t *testing.T) {
+	s := newStand(t)
+	signs := make(chan float64, 9)
+	s.w.SignOfLife = func(readAt float64) { signs <- readAt }
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer other.Close()
+	s.w.Watch()
+	_, chunk, old := s.open()
+	chunk(s.list(42))
+	require.Positive(t, (<-s.groups).ReadAt)
+	s.w.Move(other.Addr().String())
+	chunk("\n")
+	chunk(s.list(43))
+	g := <-s.groups
+	require.Equal(t, "t43", g.Targets[0].ID)
+	require.Zero(t, g.ReadAt)
+	s.ln = other
+	from, chunk, _ := s.open()
+	require.Empty(t, from)
+	chunk(s.list(7))
+	g = <-s.groups
+	require.Equal(t, "t7", g.Targets[0].ID)
+	require.Positive(t, g.ReadAt)
+	_, err = old.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	require.Empty(t, signs)
+	chunk("\n")
+	require.Positive(t, <-signs)
+}
+
 // Crossing: the address moves in the moment in which the watch ends by itself. One call goes to the new address, none
 // to the old.
 func TestMoveAsTheWatchEnds(t *testing.T) {
