Pace calls for the list by the fleet's size, and split the list and its calls off balance.go

Callers saw: after an outage of discovery no scheduler heard it for seconds, and each refused or sent by an old list.

Cause: all watches of a fleet end together, and all called again within 0.2 s; discovery takes calls in turn, drops those that wait over its limit and still works on them.

Change: a watch that ended is opened anew within min(0.1 s each, 6 s), 0.3 s at least; a failed call is repeated after 4 s, doubled with each further one up to 0.1 s each, half of that less or more; an event says that another scheduler was answered, and brings the next call forward, once. balance/asking.go is that pace, balance/list.go was moved out of balance.go.

No rule rests on the pace.

--- a/balance/api.go
+++ b/balance/api.go
@@ -153,6 +153,7 @@
 	Kept                       // room is held or let go at a worker: Worker, Request, Keep
 	Judged                     // by one scheduler for all: Worker gets nothing for Elapsed; 0: it may be tried again
 	Ruled                      // what the schedulers agreed on: Caps, Cold
+	Answered                   // discovery has answered another dispatcher lately
 	Shared                     // likewise, for Elapsed: the Parts of what tenants ask that lie within their shares
 )
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -43,8 +43,6 @@
 	unsafeSpare = 0.3 // of a slot that an unsafe job may exceed what is taken for free
 	coldSafety  = 0.4 // share used of what a cold worker may be sent, where dispatchers hear one another,
 	apartShare  = 1.5 // and that much more where they do not: shares that small are seldom all spent
-	askLeast    = 2.0 // seconds from a call for the list that failed to the next,
-	askSpread   = 6.0 // and up to that much more: discovery needs some seconds to answer all
 	tickTimer   = uint64(1) << 60
 	askTimer    = tickTimer + 1
 )
@@ -136,7 +134,8 @@
 	tells                        map[int]map[string]float64 // slots that each dispatcher has out, by worker
 	held                         []*request
 	gen                          int
-	asking, answered, ticking    bool                     // answered: the last call for the list was
+	asking                       asking
+	ticking                      bool
 	retries, paid                float64                  // own budget; further attempts that are paid for
 	extras                       []mark                   // further attempts of late, and what had paid
 	lines                        map[string]*line         // by key
@@ -215,6 +214,10 @@
 		if w := b.workers[ev.Worker]; w != nil && (ev.Elapsed == 0 || now+ev.Elapsed > w.ejectedTo) {
 			w.ejectedTo, w.hard, w.trial = now+ev.Elapsed, ev.Elapsed > 0, true
 		}
+	case Answered:
+		if wait, sooner := b.asking.hint(now, b.s.Fleet, b.rng); sooner {
+			b.do(Action{Kind: Wake, Timer: askTimer, After: wait})
+		}
 	case Shared:
 		b.parts, b.partsTo = ev.Parts, now+ev.Elapsed
 	case Ruled:
@@ -237,7 +240,9 @@
 		b.ticking = false
 		b.place(now)
 	case askTimer:
-		b.ask()
+		if b.asking.isDue(now) { // and not left over from before it was to be sooner
+			b.ask()
+		}
 	default:
 		if r := b.reqs[t]; r != nil && !r.done {
 			r.wakeAt = 0
@@ -246,80 +251,6 @@
 	}
 }
 
-func (b *Balancer) ask() {
-	if b.s.Subscribe && !b.asking {
-		b.asking = true
-		b.do(Action{Kind: Subscribe})
-	}
-}
-
-func (b *Balancer) list(now time.Duration, ev *Event) {
-	if ev.List == AskFailed {
-		wait := seconds(askLeast + askSpread*b.rng.Float64()) // faster than answers come, all calls fail
-		if b.answered {
-			wait = seconds(0.1 + 0.2*b.rng.Float64()) // a watch broke
-		}
-		b.asking, b.answered = false, false
-		b.do(Action{Kind: Wake, Timer: askTimer, After: min(wait, max(time.Second/10, 2*b.s.AskWithin))})
-		return
-	}
-	b.gen++
-	for i := range ev.Members {
-		b.member(now, &ev.Members[i])
-	}
-	if ev.List != Changes {
-		for _, w := range slices.Clone(b.ring) {
-			if w.gen != b.gen {
-				b.unlist(w)
-			}
-		}
-	}
-	if b.answered = ev.List != FromDisk && (b.answered || !ev.Local); ev.List == FromDisk {
-		b.ask()
-	}
-	b.place(now)
-}
-
-func (b *Balancer) member(now time.Duration, m *Member) {
-	w := b.workers[m.ID]
-	if w == nil {
-		w = &worker{}
-		if m.State == Ready || m.State == Suspended {
-			b.workers[m.ID] = w
-		}
-	}
-	if w.ID == "" || m.Started != w.Started { // new, or restarted: nothing known of an old process holds
-		*w = worker{Member: *m, listed: w.listed, own: w.own, outs: w.outs, marks: w.marks, slots: w.slots,
-			heardAt: now, offset: hash(m.ID)}
-		for _, had := range b.tells {
-			delete(had, m.ID)
-		}
-	}
-	w.Member, w.gen = *m, b.gen
-	if m.State != Ready && m.State != Suspended {
-		b.unlist(w)
-		return
-	}
-	if !w.listed {
-		w.listed = true
-		i, _ := slices.BinarySearchFunc(b.ring, w, func(x, y *worker) int { return cmp.Compare(x.ID, y.ID) })
-		b.ring = slices.Insert(b.ring, i, w)
-	}
-}
-
-func (b *Balancer) unlist(w *worker) {
-	w.listed, w.keep = false, nil
-	b.ring = slices.DeleteFunc(b.ring, func(x *worker) bool { return x == w })
-	b.drop(w)
-}
-
-// drop forgets a worker neither listed nor holding work of ours, or memory would grow with the day.
-func (b *Balancer) drop(w *worker) {
-	if !w.listed && w.outs == 0 {
-		delete(b.workers, w.ID)
-	}
-}
-
 func (b *Balancer) arrived(now time.Duration, ev *Event) {
 	c := b.classes[ev.Class]
 	if c == nil {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -416,6 +416,83 @@
 	}
 }
 
+// Calls that fail are repeated the more slowly the more of them fail, in a large fleet: discovery may answer few. Word
+// that it has answered another dispatcher has this one call soon, once; a call that fails after that is repeated slowly again.
+func TestCallsOfALargeFleet(t *testing.T) {
+	s := base()
+	s.Subscribe, s.AskWithin, s.Fleet = true, 100*time.Second, 300
+	b, err := New(s, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	wake := func(kind EventKind) time.Duration {
+		w := find(b.Step(now, &Event{Kind: kind, List: AskFailed}, nil), Wake)
+		if w == nil {
+			return 0
+		}
+		return w.After
+	}
+	call := func(wait time.Duration) {
+		t.Helper()
+		if now += wait; find(b.Step(now, &Event{Kind: TimerDue, Timer: askTimer}, nil), Subscribe) == nil {
+			t.Fatal("not asked")
+		}
+	}
+	b.Step(now, &Event{Kind: Listed, List: FromDisk}, nil)
+	for n, mean := range []time.Duration{4, 8, 16, 30, 30} {
+		mean *= time.Second
+		wait := wake(Listed)
+		if wait < mean/2 || wait > mean*3/2 {
+			t.Fatalf("failure %d: waits %v, want about %v", n+1, wait, mean)
+		}
+		call(wait)
+	}
+	wake(Listed)
+	soon := wake(Answered)
+	if soon <= 0 || soon > 6*time.Second {
+		t.Fatalf("waits %v after another was answered", soon)
+	}
+	if again := wake(Answered); again != 0 {
+		t.Fatalf("told twice, waits %v", again)
+	}
+	call(soon)
+	wait := wake(Listed)
+	if wait < 2*time.Second || wake(Answered) != 0 {
+		t.Fatalf("waits %v after that call failed, too", wait)
+	}
+}
+
+// A call that was put forward is not made again by the timer that was set for it first.
+func TestTimerOfACallThatWasPutForward(t *testing.T) {
+	s := base()
+	s.Subscribe, s.AskWithin, s.Fleet = true, 100*time.Second, 300
+	b, err := New(s, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := func(at time.Duration) bool {
+		return find(b.Step(at, &Event{Kind: TimerDue, Timer: askTimer}, nil), Subscribe) != nil
+	}
+	fails := func(at time.Duration) time.Duration {
+		return at + find(b.Step(at, &Event{Kind: Listed, List: AskFailed}, nil), Wake).After
+	}
+	b.Step(0, &Event{Kind: Listed, List: FromDisk}, nil)
+	first := fails(0)
+	if !asked(first) {
+		t.Fatal("not asked")
+	}
+	late := fails(first)
+	soon := first + find(b.Step(first, &Event{Kind: Answered}, nil), Wake).After
+	if !asked(soon) {
+		t.Fatal("not asked sooner")
+	}
+	next := fails(late - time.Millisecond)
+	if asked(late) || !asked(next) {
+		t.Fatal("asked by the timer that no longer counts")
+	}
+}
+
 // Where asking is bounded by no time, as an agent on this machine costs nothing to ask, it is asked again soon however
 // often it was silent: what it has counts from the moment of its return.
 func TestAsksAnAgentAgainSoon(t *testing.T) {
