Pass discovery's word on to schedulers that it does not answer, dated by their question

Cause: discovery answers some ten calls a second, and others knew meanwhile what it had said.

Change: a scheduler without a young word asks three others, with the digest of its list. One that has a younger word says that all of that digest serve but those that it names (or names those near the asker), with the age of the word. The asker dates it by when its own question left less that age: a bound that holds however late datagrams are and whatever clocks show. What left the list is withheld at once; what is new needs the own watch.

Evidence: TestFleetStopsThoughOneHearsDiscovery, on four real processes, fails with the exchange taken out and passes.

--- a/cmd/cottonwell/removed_target_test.go
+++ b/cmd/cottonwell/removed_target_test.go
@@ -62,6 +62,7 @@
 	removed   map[string]time.Time            // targets that have left the list, and when
 	told      map[string]map[string]time.Time // by scheduler and removed target: when it was written
 	endpoints []testEndpoint
+	answers   string // the one scheduler that is answered, if not all are
 }
 
 func newTestDiscovery() *testDiscovery {
@@ -90,8 +91,8 @@
 	d.wake()
 }
 
-// list is the whole list as it is now, together with when it changes.
-func (d *testDiscovery) list() (line []byte, index int, b behaviour, changed chan struct{}, removed []string) {
+// list is the whole list as it is now, together with how a scheduler's calls are treated and when that changes.
+func (d *testDiscovery) list(scheduler string) (line []byte, index int, b behaviour, changed chan struct{}, removed []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	endpoints := []testEndpoint{}
@@ -104,7 +105,10 @@
 	if err != nil {
 		panic(err)
 	}
-	return append(line, '\n'), d.index, d.behaviour, d.changed, slices.Collect(maps.Keys(d.removed))
+	if b = d.behaviour; b == answering && d.answers != "" && d.answers != scheduler {
+		b = crowded
+	}
+	return append(line, '\n'), d.index, b, d.changed, slices.Collect(maps.Keys(d.removed))
 }
 
 // wrote notes that a scheduler was told that these targets are removed.
@@ -138,7 +142,7 @@
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		written := -1
 		for {
-			line, index, b, changed, removed := d.list()
+			line, index, b, changed, removed := d.list(scheduler)
 			switch {
 			case b == answering && written != index:
 				written = index
@@ -186,9 +190,9 @@
 	firstConfig []byte // of the first scheduler, before its discovery was moved
 
 	mu     sync.Mutex
-	listen map[string]string // the schedulers' addresses
-	late   []string          // sends against the rule
-	served atomic.Int64
+	listen map[string]string        // the schedulers' addresses
+	late   []string                 // sends against the rule
+	served map[string]*atomic.Int64 // by scheduler
 	callUp *http.Client
 }
 
@@ -204,7 +208,7 @@
 
 func newDrainPlay(t *testing.T) *drainPlay {
 	p := &drainPlay{t: t, discovery: newTestDiscovery(), schedulers: map[string]*exec.Cmd{}, configFiles: map[string]string{},
-		listen: map[string]string{}, callUp: &http.Client{Timeout: time.Second}}
+		listen: map[string]string{}, served: map[string]*atomic.Int64{}, callUp: &http.Client{Timeout: time.Second}}
 	for i := range 6 {
 		name := fmt.Sprintf("s-%d", i)
 		p.targets = append(p.targets, name)
@@ -293,11 +297,12 @@
 	p.schedulers[name], p.configFiles[name] = cmd, file
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go p.client(ctx, name)
+	p.served[name] = &atomic.Int64{}
+	go p.client(ctx, name, p.served[name])
 }
 
-// client sends one request after the other to a scheduler.
-func (p *drainPlay) client(ctx context.Context, scheduler string) {
+// client sends one request after the other to a scheduler, and counts those that are served.
+func (p *drainPlay) client(ctx context.Context, scheduler string, served *atomic.Int64) {
 	c := &http.Client{Timeout: 2 * time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
 		p.mu.Lock()
@@ -311,7 +316,7 @@
 		r.Header.Set("X-Remaining", "1000m")
 		if resp, err := c.Do(r); err == nil {
 			if resp.StatusCode == http.StatusOK {
-				p.served.Add(1)
+				served.Add(1)
 			}
 			resp.Body.Close()
 		}
@@ -327,9 +332,7 @@
 // end requires that no send was late, and that schedulers serve again soon after discovery answers.
 func (p *drainPlay) end() {
 	p.discovery.become(answering)
-	served := p.served.Load()
-	require.Eventually(p.t, func() bool { return p.served.Load() > served+20 }, 15*time.Second, 10*time.Millisecond,
-		"discovery answers, and nothing is served")
+	p.servesOn("discovery answers, and nothing is served")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	require.Empty(p.t, p.late, "sends later than the grace after the target's removal counts as told")
@@ -340,6 +343,15 @@
 	p.discovery.remove("s-0", "s-2", "s-4")
 }
 
+// servesOn requires that each scheduler serves from now on.
+func (p *drainPlay) servesOn(what string) {
+	p.t.Helper()
+	for name, n := range p.served {
+		served := n.Load()
+		require.Eventually(p.t, func() bool { return n.Load() > served+5 }, 15*time.Second, 10*time.Millisecond, "%s: %s", name, what)
+	}
+}
+
 const withProbes = `"probes":true`
 
 // Failure (incident bfff2d): schedulers sent new work to targets for longer than allowed after their removal from the
@@ -361,6 +373,44 @@
 	}
 }
 
+// Failure (found while the lease was tried on the bench): schedulers that discovery did not answer refused all, though others
+// had heard it and could tell them. The word that these pass on names what has left the list.
+func TestFleetStopsThoughOneHearsDiscovery(t *testing.T) {
+	t.Parallel()
+	const fleet = 4
+	p := newDrainPlay(t)
+	addresses := make([]string, fleet)
+	for i := range addresses {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		addresses[i] = c.LocalAddr().String()
+		require.NoError(t, c.Close())
+	}
+	peers, err := json.Marshal(addresses)
+	require.NoError(t, err)
+	nobody, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer nobody.Close()
+	for i, at := range addresses {
+		p.start(i, fleet, p.discoveryOf(i), [2]string{`"probes":false`, `"probes":true,"may-tell":true`}, [2]string{`"known"`,
+			fmt.Sprintf(`"peer_listen":%q,"peers":%s,"peers_all":%q,"known"`, at, peers, nobody.LocalAddr())})
+	}
+	time.Sleep(500 * time.Millisecond)
+	p.discovery.become(down)
+	time.Sleep(time.Second)
+	p.discovery.mu.Lock()
+	p.discovery.answers = "n0"
+	p.discovery.mu.Unlock()
+	p.discovery.become(answering)
+	time.Sleep(400 * time.Millisecond)
+	p.discovery.remove("s-0", "s-2", "s-4")
+	time.Sleep(countsAsToldAfter + 2*time.Second)
+	p.servesOn("one scheduler hears discovery")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.Empty(t, p.late)
+}
+
 func (p *drainPlay) turnsCallsAway(probes string) {
 	for i := range 4 {
 		p.start(i, 4, p.discoveryOf(i), [2]string{`"probes":false`, probes})
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -18,6 +18,7 @@
 	Lists, ListFailures                  int            // lists and changes heard; watches that failed
 	SignsOfLife                          int            // on watches, between lists
 	Withheld                             int            // targets that nothing may be sent to, as the lease on the list ran out or they said that they drain
+	WordsTold, WordsPassedOn             int            // datagrams about discovery's word; those by which this one was renewed
 	Lapses, RefusedLapsed                int            // times that the lease ran out; refusals while it had
 	LapsedFor                            float64        // ms without a lease until it was renewed last, those before the first list included
 	Outcomes                             [8]int         // by balance.Result
@@ -100,7 +101,7 @@
 func (e readBooks) apply(c *Core) {
 	b := c.books
 	b.Dropped = maps.Clone(b.Dropped)
-	b.Open, b.Targets, b.Unreadable = c.open, len(c.targets), c.module.Unreadable
+	b.Open, b.Targets, b.Unreadable, b.Withheld = c.open, len(c.targets), c.module.Unreadable+c.unreadable, c.withholds()
 	if p := c.module.Room(); p != nil {
 		b.Room = p.LogValue()
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"cottonwell/balance"
 	"cottonwell/internal/clock"
 	"cottonwell/internal/decide"
+	"cottonwell/internal/gossip"
 	"cottonwell/internal/invariant"
 	"cottonwell/internal/room"
 )
@@ -178,23 +179,26 @@
 		return
 	}
 	c.books.Lists++
-	released := e.group.Scope != balance.FromDisk && c.listHeard(s, e.group.ReadAt)
 	if e.group.Scope != balance.Changes {
 		for id := range s.members {
 			delete(c.targets, id)
 		}
 		clear(s.members)
 	}
-	ev := balance.Event{Kind: balance.Listed, List: e.group.Scope}
-	for _, t := range e.group.Targets {
+	for i := range e.group.Targets {
+		t := &e.group.Targets[i]
 		t.Started = clock.Duration(t.StartedMS)
 		if t.State == balance.Gone {
 			delete(s.members, t.ID)
 			delete(c.targets, t.ID)
 		} else {
-			s.members[t.ID] = t
+			s.members[t.ID] = *t
 			c.targets[t.ID] = s
 		}
+	}
+	changed := c.listHeard(s, &e.group)
+	ev := balance.Event{Kind: balance.Listed, List: e.group.Scope}
+	for _, t := range e.group.Targets {
 		ev.Members = append(ev.Members, c.member(t))
 	}
 	if e.group.Scope != balance.Changes {
@@ -210,9 +214,7 @@
 	}
 	s.Transport.Listed(e.group)
 	c.step(ev)
-	if released {
-		c.tellWithheld()
-	}
+	c.leaseReviewed(s, changed)
 	if c.cfg.Listed != nil {
 		all := make([]Target, 0, len(c.targets))
 		for id, s := range c.targets {
@@ -231,6 +233,10 @@
 }
 
 func (e heard) apply(c *Core) {
+	if gossip.IsAboutLists(e.raw) {
+		c.wordHeard(e.who, e.raw)
+		return
+	}
 	c.step(balance.Event{Kind: balance.PeerSpoke, Who: e.who, Raw: e.raw})
 }
 
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -1,22 +1,36 @@
 package core
 
 import (
-	"fmt"
+	"errors"
 	"math"
 
 	"cottonwell/balance"
 	"cottonwell/internal/freshness"
 )
 
-// listLease is the core's side of the lease on the list of the source that is watched. The lease decides; here the module
-// and the transport are told.
+// listLease is the core's side of the lease on the list of the source that is watched. The lease decides; here the module,
+// the transport and other schedulers are told.
 type listLease struct {
-	lease    *freshness.Lease // nil: lists are acted on for ever
-	leased   *source          // the source whose list it is
-	ticks    bool             // a timer is set
-	lapsedAt float64          // when it ran out, or the start; counts while it is not valid
+	lease      *freshness.Lease // nil: lists are acted on for ever
+	peers      *freshness.Peers // nil where schedulers have no way to one another
+	leased     *source          // the source whose list it is
+	unreadable int              // datagrams about discovery's word that could not be read
+	wakeAt     float64          // when the next timer for the lease rings; in the past if none is set
+	lapsedAt   float64          // when it ran out, or the start; infinite while it is valid
 }
 
+// The exchange with other schedulers about the word of discovery, in milliseconds.
+const (
+	askPeersEvery  = 250.0
+	askPeersMany   = 3
+	askPeersAt     = 1000.0 // without a watch
+	askPeersSilent = 2600.0 // with one: a sign of life comes every 2 s
+	wordYounger    = 200.0
+	keepQuestion   = 1500.0
+)
+
+var errNothingWatched = errors.New("a lease on a list that no source is asked for")
+
 // startLease sets the lease up for the source that is watched.
 func (c *Core) startLease() (err error) {
 	if c.cfg.ListLease <= 0 {
@@ -28,23 +42,37 @@
 		}
 	}
 	if c.leased == nil {
-		return fmt.Errorf("a lease on a list that no source is asked for")
+		return errNothingWatched
 	}
-	c.lapsedAt = c.clock.Now()
-	c.lease, err = freshness.NewLease(c.cfg.ListLease)
+	now, settings := c.clock.Now(), &c.cfg.Settings
+	c.lapsedAt = now
+	if c.lease, err = freshness.NewLease(c.cfg.ListLease); err != nil {
+		return err
+	}
+	if c.cfg.Tell == nil || !settings.Peers || settings.Fleet < 2 {
+		return nil
+	}
+	c.peers, err = freshness.NewPeers(now, freshness.PeersConfig{Self: settings.Self, Fleet: settings.Fleet, Seed: c.cfg.Seed, AskEvery: askPeersEvery,
+		AskAt: askPeersAt, SilentAt: askPeersSilent, AskMany: askPeersMany, Younger: wordYounger, KeepFor: keepQuestion}, c.lease)
 	return err
 }
 
-// listHeard renews the lease by a list, or by changes to it, before they are taken over. It says whether
-// targets that the list does not name may change by that.
-func (c *Core) listHeard(s *source, readAt float64) (changed bool) {
+// listHeard tells the lease of a list, or of changes to it, that the source's members show by now.
+func (c *Core) listHeard(s *source, g *Group) (changed bool) {
 	if c.lease == nil || s != c.leased {
 		return false
 	}
-	withheld := c.withholds()
-	c.lease.Listed(c.clock.Now(), readAt)
-	c.leaseReviewed()
-	return withheld > 0
+	serving := make([]freshness.Target, 0, len(s.members))
+	for id, t := range s.members {
+		if t.State == balance.Ready {
+			serving = append(serving, freshness.Target{Name: id, StartedMS: t.StartedMS})
+		}
+	}
+	now := c.clock.Now()
+	if g.Scope == balance.FromDisk {
+		return c.lease.Load(now, serving)
+	}
+	return c.lease.Listed(now, g.ReadAt, serving)
 }
 
 // SignOfLife tells that a source gave one on its open watch, and when it was read.
@@ -57,19 +85,16 @@
 
 func (e signOfLife) apply(c *Core) {
 	c.books.SignsOfLife++
-	if s := c.sources[e.from]; s == nil || c.lease == nil || s != c.leased {
-		return
-	}
-	if c.lease.SignOfLife(c.clock.Now(), e.readAt) {
-		c.tellWithheld()
+	if s := c.sources[e.from]; s != nil && c.lease != nil && s == c.leased {
+		c.leaseReviewed(s, c.lease.SignOfLife(c.clock.Now(), e.readAt))
 	}
-	c.leaseReviewed()
 }
 
 // listLost tells the lease that a call failed or a watch ended.
 func (c *Core) listLost(s *source) {
 	if c.lease != nil && s == c.leased {
 		c.lease.WatchLost()
+		c.leaseReviewed(s, false)
 	}
 }
 
@@ -85,36 +110,75 @@
 	case r.Result == balance.OK:
 		answer = freshness.Serving
 	}
-	if c.lease.Probed(r.Target, answer) {
-		c.tellWithheld()
+	c.leaseReviewed(c.leased, c.lease.Probed(c.clock.Now(), r.Target, answer))
+}
+
+// wordHeard takes in what another scheduler asks or says of discovery's word.
+func (c *Core) wordHeard(who int, raw string) {
+	if c.peers == nil {
+		c.unreadable++
+		return
+	}
+	out, changed, err := c.peers.Heard(c.clock.Now(), who, raw)
+	if err != nil {
+		c.unreadable++
+		return
+	}
+	c.sendWords(out)
+	if changed {
+		c.books.WordsPassedOn++
+		c.step(balance.Event{Kind: balance.Answered})
+	}
+	c.leaseReviewed(c.leased, changed)
+}
+
+func (c *Core) sendWords(out []freshness.Message) {
+	for _, m := range out {
+		c.books.WordsTold += len(m.To)
+		c.cfg.Tell(m.To, m.Raw)
 	}
 }
 
 func (c *Core) leaseDue() {
-	c.ticks = false
-	if c.lease.Review(c.clock.Now()) {
+	c.wakeAt = math.Inf(-1)
+	c.leaseReviewed(c.leased, c.lease.Review(c.clock.Now()))
+}
+
+// leaseReviewed does what follows of an event on the lease of a source: it tells who may be sent to if that has changed, asks and
+// answers other schedulers, and asks to be woken for what comes next.
+func (c *Core) leaseReviewed(s *source, changed bool) {
+	if c.lease == nil || s != c.leased {
+		return
+	}
+	if changed {
 		c.tellWithheld()
 	}
-	c.leaseReviewed()
+	c.noteLapse()
+	now := c.clock.Now()
+	at := c.lease.Next(now)
+	if c.peers != nil {
+		c.sendWords(c.peers.Renewed(now))
+		c.sendWords(c.peers.Due(now))
+		at = min(at, c.peers.Next(now))
+	}
+	if waiting := c.wakeAt > now; !math.IsInf(at, 1) && (!waiting || at < c.wakeAt) {
+		c.wakeAt = at
+		c.timers.add(timer{at: at, what: leaseTimer})
+	}
 }
 
-// leaseReviewed notes what became of the lease, and asks to be woken at its end.
-func (c *Core) leaseReviewed() {
-	now := c.clock.Now()
+// noteLapse counts and logs that the lease ran out, or was renewed after that.
+func (c *Core) noteLapse() {
 	switch valid := c.lease.Valid(); {
 	case valid && !math.IsInf(c.lapsedAt, 1):
-		c.books.LapsedFor += now - c.lapsedAt
+		lapsed := c.clock.Now() - c.lapsedAt
+		c.books.LapsedFor += lapsed
 		c.lapsedAt = math.Inf(1)
-		c.log.Info("lease on the list renewed", "lapsed_ms", c.books.LapsedFor)
+		c.log.Info("lease on the list renewed", "lapsed_ms", lapsed, "watching", c.lease.Watching())
 	case !valid && math.IsInf(c.lapsedAt, 1):
 		c.books.Lapses++
 		c.lapsedAt = c.lease.Until()
-		c.log.Warn("lease on the list ran out, nothing is sent until discovery answers", "lasted_ms", c.cfg.ListLease)
-	}
-	c.books.Withheld = c.withholds()
-	if !c.ticks && c.lease.Valid() {
-		c.ticks = true
-		c.timers.add(timer{at: c.lease.Until(), what: leaseTimer})
+		c.log.Warn("lease on the list ran out, nothing is sent until discovery answers", "withheld", c.withholds())
 	}
 }
 
@@ -128,7 +192,6 @@
 		ev.Members = append(ev.Members, t.Member)
 	}
 	sortMembers(ev.Members)
-	c.books.Withheld = c.withholds()
 	c.leased.Transport.Listed(changed)
 	c.step(ev)
 }
@@ -138,10 +201,13 @@
 	return c.lease != nil && c.targets[target] == c.leased && c.lease.Withheld(target)
 }
 
-// withholds is how many targets are withheld.
+// withholds is how many targets serve by the list and are withheld.
 func (c *Core) withholds() (n int) {
-	for id := range c.leased.members {
-		if c.lease.Withheld(id) {
+	if c.lease == nil {
+		return 0
+	}
+	for id, t := range c.leased.members {
+		if t.State == balance.Ready && c.lease.Withheld(id) {
 			n++
 		}
 	}
--- a/internal/core/leases_test.go
+++ b/internal/core/leases_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cottonwell/balance"
+	"cottonwell/internal/freshness"
 )
 
 const listLasts = 5700.0
@@ -18,7 +19,7 @@
 	}
 	b.core.cfg.ListLease = listLasts
 	require.NoError(t, b.core.startLease())
-	b.core.tellWithheld() // as they were told of before
+	b.core.leaseReviewed(b.core.leased, b.core.listHeard(b.core.leased, &Group{Scope: balance.FromDisk}))
 	b.core.route()
 	return b
 }
@@ -59,14 +60,14 @@
 	b.pass(2)
 	b.take("y", "c")
 	require.Len(t, b.started, 1, "it waits")
-	require.Equal(t, 2, b.core.books.Withheld)
+	require.Equal(t, 2, b.core.withholds())
 	require.Equal(t, 1, b.core.books.Lapses)
 	b.do(probed{ProbeResult{Target: "b", SentAt: b.clock.Now(), Result: balance.OK}})
 	require.Len(t, b.started, 1)
 	b.pass(9)
 	b.hear()
 	require.Len(t, b.started, 2)
-	require.Zero(t, b.core.books.Withheld)
+	require.Zero(t, b.core.withholds())
 	require.Equal(t, 10.0, b.core.books.LapsedFor)
 }
 
@@ -123,11 +124,11 @@
 	b.hear()
 	notReady := ProbeResult{Target: "a", SentAt: b.clock.Now(), Result: balance.Failed, NotReady: true}
 	b.do(probed{notReady})
-	require.Zero(t, b.core.books.Withheld)
+	require.Zero(t, b.core.withholds())
 	b.lose()
-	require.Zero(t, b.core.books.Withheld, "the list was right when it was asked")
+	require.Zero(t, b.core.withholds(), "the list was right when it was asked")
 	b.do(probed{notReady})
-	require.Equal(t, 1, b.core.books.Withheld)
+	require.Equal(t, 1, b.core.withholds())
 	for range 5 {
 		b.take(string(rune('k'+len(b.started))), "c")
 		require.Equal(t, "b", b.started[len(b.started)-1].Target)
@@ -135,3 +136,34 @@
 	}
 	require.Len(t, b.started, 5)
 }
+
+// A scheduler that discovery does not answer serves by the word that another one passes on, and calls discovery soon.
+func TestServesByAWordThatWasPassedOn(t *testing.T) {
+	b := leased(t, 2)
+	var told []string
+	b.core.cfg.Tell = func(to []int, raw string) {
+		require.Equal(t, []int{1}, to)
+		told = append(told, raw)
+	}
+	b.core.cfg.Settings.Peers, b.core.cfg.Settings.Fleet = true, 2
+	require.NoError(t, b.core.startLease())
+	b.do(listed{"test", Group{Scope: balance.FromDisk, Targets: []Target{b.core.leased.members["a"], b.core.leased.members["b"]}}})
+	b.take("x", "c")
+	b.pass(200)
+	require.Len(t, told, 1)
+	other, err := freshness.NewLease(listLasts)
+	require.NoError(t, err)
+	other.Listed(7000, 7000, []freshness.Target{{Name: "b"}})
+	peers, err := freshness.NewPeers(7000, freshness.PeersConfig{Self: 1, Fleet: 2, AskEvery: 1, AskMany: 1, Younger: 1}, other)
+	require.NoError(t, err)
+	answers, _, err := peers.Heard(7100, 0, told[0])
+	require.NoError(t, err)
+	require.Len(t, answers, 1)
+	b.do(heard{1, answers[0].Raw})
+	require.Len(t, b.started, 1)
+	require.Equal(t, "b", b.started[0].Target)
+	require.Equal(t, 1, b.core.withholds(), "the other one has left the list")
+	require.Equal(t, 1, b.core.books.WordsPassedOn)
+	b.do(heard{1, answers[0].Raw[:9]})
+	require.Equal(t, 1, b.core.unreadable)
+}
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -15,9 +15,17 @@
 func newLease(t require.TestingT) *Lease {
 	l, err := NewLease(lasts)
 	require.NoError(t, err)
+	l.Load(0, serving("a", "b"))
 	return l
 }
 
+func serving(names ...string) (targets []Target) {
+	for _, name := range names {
+		targets = append(targets, Target{Name: name})
+	}
+	return targets
+}
+
 func TestImpossibleLeases(t *testing.T) {
 	for _, lasts := range []float64{0, -1, math.NaN(), math.Inf(1)} {
 		_, err := NewLease(lasts)
@@ -31,7 +39,7 @@
 	require.False(t, l.Review(0))
 	require.True(t, l.Withheld("a"))
 	require.Less(t, l.MaySendUntil("a"), 0.0)
-	l.Listed(10, 5)
+	l.Listed(10, 5, serving("a", "b"))
 	require.False(t, l.Withheld("a"))
 	require.Equal(t, 5+lasts, l.MaySendUntil("a"))
 }
@@ -40,7 +48,7 @@
 // open watch that is silent renews nothing.
 func TestLeaseRunsFromWhenTheWordWasRead(t *testing.T) {
 	l := newLease(t)
-	l.Listed(1000, 10)
+	l.Listed(1000, 10, serving("a", "b"))
 	require.False(t, l.SignOfLife(2100, 2000))
 	require.Equal(t, 2000+lasts, l.Until())
 	require.False(t, l.SignOfLife(2200, 1500))
@@ -59,23 +67,23 @@
 // A probe never renews the lease, and takes a target away that says that it drains, while no watch is open.
 func TestProbesOnlyTakeAway(t *testing.T) {
 	l := newLease(t)
-	l.Listed(0, 0)
-	require.False(t, l.Probed("a", NotReady), "the list decides while the watch is open")
+	l.Listed(0, 0, serving("a", "b"))
+	require.False(t, l.Probed(1, "a", NotReady), "the list decides while the watch is open")
 	l.WatchLost()
-	require.False(t, l.Probed("b", Serving))
-	require.False(t, l.Probed("b", Silent), "silence says nothing of a drain")
-	require.True(t, l.Probed("a", NotReady))
-	require.False(t, l.Probed("a", NotReady))
+	require.False(t, l.Probed(1, "b", Serving))
+	require.False(t, l.Probed(1, "b", Silent), "silence says nothing of a drain")
+	require.True(t, l.Probed(1, "a", NotReady))
+	require.False(t, l.Probed(1, "a", NotReady))
 	require.True(t, l.Withheld("a"))
 	require.Less(t, l.MaySendUntil("a"), 0.0)
 	require.False(t, l.Withheld("b"))
-	require.True(t, l.Probed("a", Serving))
+	require.True(t, l.Probed(1, "a", Serving))
 	require.False(t, l.Withheld("a"))
 	require.True(t, l.Review(lasts))
-	require.False(t, l.Probed("a", Serving))
+	require.False(t, l.Probed(lasts, "a", Serving))
 	require.True(t, l.Withheld("a"), "the list may have lost it meanwhile")
-	require.True(t, l.Probed("b", NotReady))
-	l.Listed(9000, 9000)
+	require.False(t, l.Probed(lasts, "b", NotReady))
+	l.Listed(9000, 9000, serving("a", "b"))
 	require.False(t, l.Withheld("b"), "the list names it")
 }
 
@@ -118,7 +126,7 @@
 // so while a watch is open, one whose leases are longer than the time after which a change counts as told, and those that
 // take a probe, a failed call or the list of the start for discovery's word.
 func TestCheckerFindsWrongVariants(t *testing.T) {
-	renews := func(l *Lease, now float64) { l.renew(now) }
+	renews := func(l *Lease, now float64) { l.wordAt = now }
 	variants := map[string]func(*program){
 		"goes on": func(p *program) { p.maySend = func(*Lease, string, float64) bool { return true } },
 		"trusts an open watch": func(p *program) {
@@ -179,6 +187,16 @@
 	}
 }
 
+// listed is what serves by the list of discovery.
+func (w *world) listed(now float64) (targets []Target) {
+	for _, name := range w.names {
+		if now < w.leftAt[name] {
+			targets = append(targets, Target{Name: name})
+		}
+	}
+	return targets
+}
+
 // untold says whether discovery has a change of which the scheduler was not told.
 func (w *world) untold(now float64) bool {
 	for _, name := range w.names {
@@ -214,6 +232,7 @@
 	if err != nil {
 		panic(err)
 	}
+	l.Load(0, serving(w.names...)) // however old that list is
 	p.started(l, 0)
 	callEnds := 20 + 2000*rng.Float64()
 	for now := 0.0; now < 60_000; now += step {
@@ -237,7 +256,7 @@
 			}
 		case w.watching && w.untold(now):
 			w.tell(now)
-			l.Listed(now, now)
+			l.Listed(now, now, w.listed(now))
 		case w.watching && rng.Float64() < step/2000:
 			w.wordAt = now
 			l.SignOfLife(now, now)
@@ -245,7 +264,7 @@
 		case now >= callEnds && w.reached && rng.IntN(2) == 0:
 			w.watching = true
 			w.tell(now)
-			l.Listed(now, now)
+			l.Listed(now, now, w.listed(now))
 		case now >= callEnds:
 			callEnds = now + 2000 + 8000*rng.Float64()
 			l.WatchLost()
@@ -254,11 +273,11 @@
 		name := w.names[rng.IntN(len(w.names))]
 		switch {
 		case rng.IntN(20) == 0:
-			l.Probed(name, Silent)
+			l.Probed(now, name, Silent)
 		case now >= w.leftAt[name] && w.honest[name]:
-			l.Probed(name, NotReady)
+			l.Probed(now, name, NotReady)
 		default:
-			l.Probed(name, Serving)
+			l.Probed(now, name, Serving)
 			p.probed(l, now)
 		}
 		l.Review(now)
