Hold the lease on the list where agents push lists, too

Callers saw (the new scenario of TestRemovedTargetIsSentTo): where lists are pushed and the watches fall silent while discovery knows more, sends to removed targets went on without end, from 16 ms after the bound on.

Cause: the lease was left out there, as what an agent has counts at once. But a watch that has fallen silent is broken in both modes, and what it misses counts 6 s after that whether or not it arrived.

Change: the lease holds wherever there is a discovery. An agent that is silent for longer than 5.7 s, as discovery is down, now means refusals.

Evidence: the scenario failed before the change and passes after it.

--- a/cmd/cottonwell/leases.go
+++ b/cmd/cottonwell/leases.go
@@ -10,10 +10,10 @@
 	leaseMargin = 300.0
 )
 
-// listLease returns for how long a list is acted on after discovery's last word; 0: for ever. An agent that pushes its
-// lists has no such time, as what it has counts at once.
+// listLease returns for how long a list is acted on after discovery's last word; 0: for ever, as there is no discovery. It
+// holds for agents that push their lists, too: what a watch there has missed since it fell silent counts as well.
 func listLease(cfg *config.Config) float64 {
-	if cfg.Pushed || cfg.Discovery == "" {
+	if cfg.Discovery == "" {
 		return 0
 	}
 	return toldAfter - leaseMargin
--- a/cmd/cottonwell/removed_target_test.go
+++ b/cmd/cottonwell/removed_target_test.go
@@ -362,7 +362,8 @@
 		"the same where probes are not allowed":      func(p *drainPlay) { p.turnsCallsAway(`"probes":false`) },
 		"the watch moved to a silent address":        (*drainPlay).watchMoves,
 		"a new process has an old list":              (*drainPlay).newProcess,
-		"watches fall silent":                        (*drainPlay).watchesFallSilent,
+		"watches fall silent":                        func(p *drainPlay) { p.watchesFallSilent(asked) },
+		"the same where lists are pushed":            func(p *drainPlay) { p.watchesFallSilent([2]string{asked[0], `"automatic"`}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -456,9 +457,12 @@
 	time.Sleep(2 * time.Second)
 }
 
-func (p *drainPlay) watchesFallSilent() {
+// asked is how the tests' configuration says that discovery is asked for the list, as a change that changes nothing.
+var asked = [2]string{`"subscribe"`, `"subscribe"`}
+
+func (p *drainPlay) watchesFallSilent(mode [2]string) {
 	for i := range 2 {
-		p.start(i, 2, p.discoveryOf(i), [2]string{`"probes":false`, withProbes})
+		p.start(i, 2, p.discoveryOf(i), [2]string{`"probes":false`, withProbes}, mode)
 	}
 	time.Sleep(500 * time.Millisecond)
 	p.discovery.become(silent)
