Count a lapse only when no target is confirmed, and trust the own watch over older words of others

Read again: a lease on the whole list that ran out was logged as "nothing is sent" while single targets were still confirmed by others' words; and a target that another scheduler's word had taken away stayed away until the next list, though a later sign of life on the own watch said that the list holds. Both have their line in TestWordOnAnotherList.

--- a/cmd/cottonwell/removed_target_test.go
+++ b/cmd/cottonwell/removed_target_test.go
@@ -362,6 +362,7 @@
 		"the same where probes are not allowed":      func(p *drainPlay) { p.turnsCallsAway(`"probes":false`) },
 		"the watch moved to a silent address":        (*drainPlay).watchMoves,
 		"a new process has an old list":              (*drainPlay).newProcess,
+		"a process stands still":                     (*drainPlay).standsStill,
 		"watches fall silent":                        func(p *drainPlay) { p.watchesFallSilent(asked) },
 		"the same where lists are pushed":            func(p *drainPlay) { p.watchesFallSilent([2]string{asked[0], `"automatic"`}) },
 	} {
@@ -457,6 +458,23 @@
 	time.Sleep(2 * time.Second)
 }
 
+// standsStill stops processes for longer than a lease lasts; what they are told meanwhile lies unread.
+func (p *drainPlay) standsStill() {
+	for i := range 2 {
+		p.start(i, 2, p.discoveryOf(i), [2]string{`"probes":false`, withProbes})
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, cmd := range p.schedulers {
+		require.NoError(p.t, cmd.Process.Signal(syscall.SIGSTOP))
+	}
+	p.removeHalf()
+	time.Sleep(countsAsToldAfter + time.Second)
+	for _, cmd := range p.schedulers {
+		require.NoError(p.t, cmd.Process.Signal(syscall.SIGCONT))
+	}
+	time.Sleep(time.Second)
+}
+
 // asked is how the tests' configuration says that discovery is asked for the list, as a change that changes nothing.
 var asked = [2]string{`"subscribe"`, `"subscribe"`}
 
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -169,15 +169,15 @@
 
 // noteLapse counts and logs that the lease ran out, or was renewed after that.
 func (c *Core) noteLapse() {
-	switch valid := c.lease.Valid(); {
-	case valid && !math.IsInf(c.lapsedAt, 1):
-		lapsed := c.clock.Now() - c.lapsedAt
-		c.books.LapsedFor += lapsed
+	switch lapsed := c.lease.Lapsed(); {
+	case !lapsed && !math.IsInf(c.lapsedAt, 1):
+		after := c.clock.Now() - c.lapsedAt
+		c.books.LapsedFor += after
 		c.lapsedAt = math.Inf(1)
-		c.log.Info("lease on the list renewed", "lapsed_ms", lapsed, "watching", c.lease.Watching())
-	case !valid && math.IsInf(c.lapsedAt, 1):
+		c.log.Info("lease on the list renewed", "lapsed_ms", after, "watching", c.lease.Watching())
+	case lapsed && math.IsInf(c.lapsedAt, 1):
 		c.books.Lapses++
-		c.lapsedAt = c.lease.Until()
+		c.lapsedAt = c.clock.Now()
 		c.log.Warn("lease on the list ran out, nothing is sent until discovery answers", "withheld", c.withholds())
 	}
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -49,7 +49,7 @@
 	case balance.Cancel:
 		c.cancel(Ref{a.Request, a.Attempt})
 	case balance.Refuse:
-		if c.lease != nil && !c.lease.Valid() {
+		if c.lease != nil && c.lease.Lapsed() {
 			c.books.RefusedLapsed++
 		}
 		back := clock.Millis(a.After)
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -47,6 +47,7 @@
 	lasts    float64
 	wordAt   float64 // the youngest word that names the whole list
 	valid    bool    // as last reviewed
+	lapsed   bool    // nothing is confirmed, neither the list nor any target of it; as last reviewed
 	watching bool    // a watch is open, and its first list has come
 	targets  map[string]*entry
 	byKey    map[gossip.Key]*entry
@@ -71,7 +72,7 @@
 	if !(lasts > 0) || math.IsInf(lasts, 1) {
 		return nil, fmt.Errorf("freshness: a lease of %g ms", lasts)
 	}
-	return &Lease{lasts: lasts, wordAt: never, digest: gossip.DigestOf(nil)}, nil
+	return &Lease{lasts: lasts, wordAt: never, lapsed: true, digest: gossip.DigestOf(nil)}, nil
 }
 
 // Load takes over a list that is no word of discovery: that of the start. Like all events it says whether a target is
@@ -106,7 +107,12 @@
 
 // SignOfLife tells of one that was read at a time on the open watch.
 func (l *Lease) SignOfLife(now, readAt float64) (changed bool) {
-	l.wordAt = max(l.wordAt, readAt)
+	if readAt > l.wordAt {
+		l.wordAt = readAt
+		for _, e := range l.targets { // what others had heard before is in the list, if it is so
+			e.cut = false
+		}
+	}
 	return l.Review(now)
 }
 
@@ -175,8 +181,10 @@
 // Review takes the time into account. It is to be called at Next at the latest.
 func (l *Lease) Review(now float64) (changed bool) {
 	l.valid = now < l.Until()
+	l.lapsed = !l.valid
 	for _, e := range l.targets {
 		was := e.withheld
+		l.lapsed = l.lapsed && now >= e.confirmedAt+l.lasts
 		e.withheld = now >= l.maySendUntil(e)
 		changed = changed || was != e.withheld
 	}
@@ -200,6 +208,9 @@
 // Valid says whether the lease on the whole list had not run out when it was last reviewed.
 func (l *Lease) Valid() bool { return l.valid }
 
+// Lapsed says whether neither the list nor any target of it was confirmed lately, as of the last review.
+func (l *Lease) Lapsed() bool { return l.lapsed }
+
 // Until is the end of the lease on the whole list.
 func (l *Lease) Until() float64 { return l.wordAt + l.lasts }
 
--- a/internal/freshness/peers_test.go
+++ b/internal/freshness/peers_test.go
@@ -94,6 +94,11 @@
 	require.True(t, asks.Withheld("a"))
 	require.False(t, asks.Withheld("b"))
 	require.Equal(t, 1000+lasts, asks.Until(), "of the rest")
+	require.False(t, asks.Lapsed())
+	asks.watching = true
+	require.True(t, asks.SignOfLife(1500, 1500), "the own watch would have told")
+	require.False(t, asks.Withheld("a"))
+	asks.watching = false
 	asks.Load(1000, []Target{{Name: "b", StartedMS: 5}, {Name: "c"}, {Name: "d"}})
 	require.False(t, asks.Withheld("b"), "the lease holds: it was discovery that changed the list")
 	asks.wordAt = never
@@ -103,6 +108,9 @@
 	require.False(t, asks.Withheld("c"))
 	require.True(t, asks.Withheld("d"))
 	require.False(t, asks.Valid())
+	require.False(t, asks.Lapsed(), "something is confirmed")
+	require.True(t, asks.Review(20_000))
+	require.True(t, asks.Lapsed())
 	many := []Target{}
 	for i := range 3 * gossip.MaxKeys {
 		many = append(many, Target{Name: fmt.Sprint(i)})
