End the lease 4 s after SIGHUP where agents push lists

It now ends 3.7 s after the move at the latest, until the new address is heard. TestLeaseEndsSooner, TestLeaseAfterAMove; no real process was seen to break this. Nothing changes where lists are asked for.

--- a/cmd/cottonwell/leases.go
+++ b/cmd/cottonwell/leases.go
@@ -8,6 +8,8 @@
 	// leaseMargin is kept for a process that stands still, for 150 ms each, between the arrival of discovery's word and
 	// the reading of the clock, and between the last check and the first byte of an attempt.
 	leaseMargin = 300.0
+	// movedAfter is when what a pushing agent has counts after SIGHUP, whether or not it was read.
+	movedAfter = 4000.0
 )
 
 // listLease returns for how long a list is acted on after discovery's last word; 0: for ever, as there is no discovery. It
@@ -18,3 +20,12 @@
 	}
 	return toldAfter - leaseMargin
 }
+
+// movedLease returns for how long the list of the address before is acted on after SIGHUP has moved discovery; 0: as long
+// as any list.
+func movedLease(cfg *config.Config) float64 {
+	if !cfg.Pushed {
+		return 0
+	}
+	return movedAfter - leaseMargin
+}
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -153,7 +153,8 @@
 		DialFor: clock.Millis(cfg.Settings.DialTimeout), IdleFor: clock.Millis(cfg.Settings.ConnIdle)})
 	s.watch = discovery.New(discovery.Config{Address: cfg.Discovery, Clock: clk, Log: log, Stack: stack,
 		Held: len(cfg.Known.Endpoints) > 0, From: cfg.Known.Index, Tell: func(g core.Group) { back.List("discovery", g) },
-		SignOfLife: func(readAt float64) { back.SignOfLife("discovery", readAt) }})
+		SignOfLife: func(readAt float64) { back.SignOfLife("discovery", readAt) },
+		Moved:      func() { back.Moved("discovery") }})
 	known, err := cfg.Known.TargetGroup()
 	if err != nil {
 		log.Warn("entry of the known list passed over", "cause", err)
@@ -192,7 +193,7 @@
 		}
 	}
 	c := core.Config{Tell: tell, Room: op.Plan(), Settings: cfg.Settings, Seed: cfg.Seed, Clock: clk, Log: log, Invariants: inv,
-		ComeBack: comeBack, Known: map[string]core.Group{"discovery": known}, ListLease: listLease(cfg)}
+		ComeBack: comeBack, Known: map[string]core.Group{"discovery": known}, ListLease: listLease(cfg), MovedLease: movedLease(cfg)}
 	if s.duties != nil && op.Fleet.Examiner != nil {
 		c.Doubt, c.Probed = s.duties.Doubt, s.duties.Probed
 	}
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -90,6 +90,20 @@
 	}
 }
 
+// Moved tells that a source is asked at another address from now on.
+func (c *Core) Moved(from string) { c.post(moved{from}) }
+
+type moved struct{ from string }
+
+func (e moved) apply(c *Core) {
+	s := c.sources[e.from]
+	if s == nil || c.lease == nil || s != c.leased || c.cfg.MovedLease <= 0 {
+		return
+	}
+	now := c.clock.Now()
+	c.leaseReviewed(s, c.lease.EndBy(now, now+c.cfg.MovedLease))
+}
+
 // listLost tells the lease that a call failed or a watch ended.
 func (c *Core) listLost(s *source) {
 	if c.lease != nil && s == c.leased {
--- a/internal/core/leases_test.go
+++ b/internal/core/leases_test.go
@@ -137,6 +137,24 @@
 	require.Len(t, b.started, 5)
 }
 
+// Where the settings bound how long the old address's list counts after a move, nothing goes out after that until the new
+// one is heard.
+func TestLeaseAfterAMove(t *testing.T) {
+	b := leased(t, 1)
+	b.core.cfg.MovedLease = 3700
+	b.hear()
+	b.do(moved{"test"})
+	b.pass(3699)
+	b.take("x", "c")
+	require.Len(t, b.started, 1)
+	b.serve("x")
+	b.pass(2)
+	b.take("y", "c")
+	require.Len(t, b.started, 1)
+	b.hear()
+	require.Len(t, b.started, 2)
+}
+
 // A scheduler that discovery does not answer serves by the word that another one passes on, and calls discovery soon.
 func TestServesByAWordThatWasPassedOn(t *testing.T) {
 	b := leased(t, 2)
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -116,6 +116,15 @@
 	return l.Review(now)
 }
 
+// EndBy has the lease end at a time at the latest, unless a younger word comes: what was told before counts no longer.
+func (l *Lease) EndBy(now, until float64) (changed bool) {
+	l.wordAt = min(l.wordAt, until-l.lasts)
+	for _, e := range l.targets {
+		e.confirmedAt = min(e.confirmedAt, until-l.lasts)
+	}
+	return l.Review(now)
+}
+
 // WatchLost tells that a call to discovery failed, or that the watch has ended.
 func (l *Lease) WatchLost() { l.watching = false }
 
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -64,6 +64,20 @@
 	require.Equal(t, 8990+lasts, l.MaySendUntil("a"))
 }
 
+// Where discovery has moved, what the old one said holds for a shorter time; what the new one says holds as usual.
+func TestLeaseEndsSooner(t *testing.T) {
+	l := newLease(t)
+	l.Listed(1000, 1000, serving("a"))
+	require.False(t, l.EndBy(1500, 5200))
+	require.Equal(t, 5200.0, l.MaySendUntil("a"))
+	require.False(t, l.EndBy(1600, 9000), "never later")
+	require.Equal(t, 5200.0, l.Until())
+	require.False(t, l.SignOfLife(2000, 1990))
+	require.Equal(t, 1990+lasts, l.Until())
+	require.True(t, l.EndBy(3000, 3000))
+	require.True(t, l.Withheld("a"))
+}
+
 // A probe never renews the lease, and takes a target away that says that it drains, while no watch is open.
 func TestProbesOnlyTakeAway(t *testing.T) {
 	l := newLease(t)
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -47,6 +47,8 @@
 	Tell func(core.Group)
 	// SignOfLife receives when one was read on a watch whose first list has come. Nil: nobody wants to know.
 	SignOfLife func(readAt float64)
+	// Moved is called as the watcher moves to another address. Nil: nobody wants to know.
+	Moved func()
 	// Held says that a list is held at the start, and From is its version, which may be 0. Only what
 	// changed since is asked for then: the whole list costs discovery work for each line, and after
 	// a release all schedulers ask at once.
@@ -70,6 +72,9 @@
 	if w.current != nil {
 		w.current.leave()
 	}
+	if w.Moved != nil {
+		w.Moved()
+	}
 	w.Watch()
 }
 
