Spread first calls and keep one pace of repeats where schedulers may not talk

Change: without talk a failed call is repeated after 4 s however many failed, and the first call of a process is made within min(50 ms each, 3 s) in fleets of 20 or more.

TestCallsOfAFleetThatMayNotTalk.

--- a/balance/asking.go
+++ b/balance/asking.go
@@ -13,8 +13,11 @@
 	reopenMost  = 300 * time.Millisecond // in a small fleet, and in a large one
 	reopenEach  = 100 * time.Millisecond // for each dispatcher, up to
 	reopenLast  = 6 * time.Second
+	startMany   = 20                    // dispatchers, from which on first calls are spread
+	startEach   = 50 * time.Millisecond // for each dispatcher, up to
+	startLast   = 3 * time.Second
 	repeatMean  = 4 * time.Second        // from a call that failed to the next; it doubles with each further one, up to
-	repeatEach  = 100 * time.Millisecond // for each dispatcher, if that is more
+	repeatEach  = 100 * time.Millisecond // for each dispatcher, if that is more and others pass on what they are answered
 	repeatShare = 0.5                    // of the mean, at random less or more
 	early       = time.Millisecond       // by which a timer may ring: hosts round
 )
@@ -28,6 +31,16 @@
 	due      time.Duration
 }
 
+// start returns how long to wait before the first call: many may start at once, where each has to be answered itself.
+func (a *asking) start(now time.Duration, s *Settings, rng *rand.Rand) time.Duration {
+	if !s.apart() || s.Fleet < startMany {
+		return 0
+	}
+	wait := time.Duration(rng.Float64() * float64(min(time.Duration(s.Fleet)*startEach, startLast)))
+	a.due = now + wait
+	return wait
+}
+
 // begin notes that a call goes out, and says whether it may.
 func (a *asking) begin() bool {
 	if a.out {
@@ -42,20 +55,23 @@
 
 // failed notes that a call failed or its watch ended, and returns how long to wait before the next one. Without a time to
 // ask within the agent that answers is this machine's, and is asked again soon.
-func (a *asking) failed(now time.Duration, fleet int, askWithin time.Duration, rng *rand.Rand) time.Duration {
-	wait := a.repeat(fleet, rng)
+func (a *asking) failed(now time.Duration, s *Settings, rng *rand.Rand) time.Duration {
+	wait := a.repeat(s, rng)
 	if a.answered {
-		wait = reopen(fleet, rng)
+		wait = reopen(s.Fleet, rng)
 	}
 	a.out, a.answered = false, false
-	wait = min(wait, max(time.Second/10, 2*askWithin))
+	wait = min(wait, max(time.Second/10, 2*s.AskWithin))
 	a.due = now + wait
 	return wait
 }
 
 // repeat is the wait after one more call that failed.
-func (a *asking) repeat(fleet int, rng *rand.Rand) time.Duration {
-	most := max(repeatMean, time.Duration(fleet)*repeatEach)
+func (a *asking) repeat(s *Settings, rng *rand.Rand) time.Duration {
+	most := repeatMean
+	if !s.apart() {
+		most = max(most, time.Duration(s.Fleet)*repeatEach)
+	}
 	mean := repeatMean
 	for n := 0; n < a.failures && mean < most; n++ {
 		mean *= 2
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -420,7 +420,7 @@
 // that it has answered another dispatcher has this one call soon, once; a call that fails after that is repeated slowly again.
 func TestCallsOfALargeFleet(t *testing.T) {
 	s := base()
-	s.Subscribe, s.AskWithin, s.Fleet = true, 100*time.Second, 300
+	s.Subscribe, s.AskWithin, s.Fleet, s.Peers = true, 100*time.Second, 300, true
 	b, err := New(s, 3)
 	if err != nil {
 		t.Fatal(err)
@@ -463,10 +463,45 @@
 	}
 }
 
+// Where dispatchers may not talk each has to be answered by itself: the first calls of many that start at once are spread, and
+// those that fail are repeated at one pace, however many did.
+func TestCallsOfAFleetThatMayNotTalk(t *testing.T) {
+	s := base()
+	s.Subscribe, s.AskWithin, s.Fleet = true, 100*time.Second, 300
+	var first []time.Duration
+	for seed := range uint64(100) {
+		b, err := New(s, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		acts := b.Step(time.Hour, &Event{Kind: Listed, List: FromDisk}, nil)
+		wake := find(acts, Wake)
+		if wake == nil || find(acts, Subscribe) != nil {
+			t.Fatalf("want a wait before the first call: %+v", acts)
+		}
+		first = append(first, wake.After)
+		now := time.Hour + wake.After
+		for n := range 5 {
+			if find(b.Step(now, &Event{Kind: TimerDue, Timer: wake.Timer}, nil), Subscribe) == nil {
+				t.Fatal("not asked")
+			}
+			wake = find(b.Step(now, &Event{Kind: Listed, List: AskFailed}, nil), Wake)
+			if wake.After < 2*time.Second || wake.After > 6*time.Second {
+				t.Fatalf("failure %d: waits %v", n+1, wake.After)
+			}
+			now += wake.After
+		}
+	}
+	slices.Sort(first)
+	if first[10] > time.Second || first[50] < time.Second || first[50] > 2*time.Second || first[99] > 3*time.Second {
+		t.Fatalf("first calls after %v", first)
+	}
+}
+
 // A call that was put forward is not made again by the timer that was set for it first.
 func TestTimerOfACallThatWasPutForward(t *testing.T) {
 	s := base()
-	s.Subscribe, s.AskWithin, s.Fleet = true, 100*time.Second, 300
+	s.Subscribe, s.AskWithin, s.Fleet, s.Peers = true, 100*time.Second, 300, true
 	b, err := New(s, 3)
 	if err != nil {
 		t.Fatal(err)
--- a/balance/list.go
+++ b/balance/list.go
@@ -16,7 +16,7 @@
 
 func (b *Balancer) list(now time.Duration, ev *Event) {
 	if ev.List == AskFailed {
-		b.do(Action{Kind: Wake, Timer: askTimer, After: b.asking.failed(now, b.s.Fleet, b.s.AskWithin, b.rng)})
+		b.do(Action{Kind: Wake, Timer: askTimer, After: b.asking.failed(now, &b.s, b.rng)})
 		return
 	}
 	b.gen++
@@ -32,7 +32,11 @@
 	}
 	switch {
 	case ev.List == FromDisk:
-		b.ask()
+		if wait := b.asking.start(now, &b.s, b.rng); wait > 0 {
+			b.do(Action{Kind: Wake, Timer: askTimer, After: wait})
+		} else {
+			b.ask()
+		}
 	case !ev.Local:
 		b.asking.heard()
 	}
--- a/internal/freshness/outage_test.go
+++ b/internal/freshness/outage_test.go
@@ -1,7 +1,6 @@
 package freshness_test
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -60,7 +59,7 @@
 	for i := range fleet {
 		n := &outageNode{number: i, since: math.Inf(1), wakesAt: math.Inf(1), renewed: math.Inf(1), listened: math.Inf(1)}
 		var err error
-		n.module, err = balance.New(balance.Settings{Fleet: fleet, Self: i, Subscribe: true, AskWithin: 10 * time.Second, Tick: 5 * time.Millisecond,
+		n.module, err = balance.New(balance.Settings{Fleet: fleet, Self: i, Peers: talk, Subscribe: true, AskWithin: 10 * time.Second, Tick: 5 * time.Millisecond,
 			MaxAttempts: 3, ColdFrom: 0.2, ColdFor: time.Second, FallMultiple: 3, FallWindow: time.Second,
 			Classes: []balance.Class{{Name: "c", Aim: time.Second, Deadline: time.Second, Worth: 1}}}, seed<<16|uint64(i))
 		require.NoError(t, err)
@@ -234,9 +233,9 @@
 				for _, n := range o.nodes {
 					lapsed, renewed, listened = append(lapsed, n.lapsed/1000), append(renewed, n.renewed/1000), append(listened, n.listened/1000)
 				}
-				t.Log(fmt.Sprintf("fleet %3d, talk %-5v, outage %2.0f s: without a lease %4.1f s (worst %4.1f); after the return renewed by %4.1f s (worst %4.1f), own watch %4.1f s (worst %4.1f); %d datagrams",
+				t.Logf("fleet %3d, talk %-5v, outage %2.0f s: without a lease %4.1f s (worst %4.1f); after the return renewed by %4.1f s (worst %4.1f), own watch %4.1f s (worst %4.1f); %d datagrams",
 					fleet, talk, lasts, quantile(lapsed, 0.5), quantile(lapsed, 1), quantile(renewed, 0.5), quantile(renewed, 1),
-					quantile(listened, 0.5), quantile(listened, 1), o.datagrams))
+					quantile(listened, 0.5), quantile(listened, 1), o.datagrams)
 				if talk {
 					require.Less(t, quantile(renewed, 1), 6.0)
 				}
