Take the end of a live watch for discovery's last word on it

Need: an outage is refused through from 5.7 s after discovery's last word on, and that may be 2 s older than the outage.

--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -20,6 +20,8 @@
 	// An empty line comes every 2 s, so by then the watch is dead though TCP does not say so. What a silent watch
 	// misses counts as told 6 s after it fell silent, and a new one has to be open by then.
 	quietFor = 3500.0
+	// emptyLineBy is when the next empty line has come at the latest, on a watch that has not fallen silent.
+	emptyLineBy = 2150.0
 )
 
 // Watcher holds at most one watch open, and while it moves the one before beside it. It does not try again by itself: it
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -10,6 +10,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 
 	"cottonwell/internal/clock"
 	"cottonwell/internal/net/httpio"
@@ -103,6 +104,10 @@
 	for lists := json.NewDecoder(beat); ; listed = true {
 		var l List
 		if err := lists.Decode(&l); err != nil {
+			if listed && !beat.within && endedThere(beat.failed) && x.Clock.Now() <= beat.readAt+emptyLineBy {
+				beat.readAt = x.Clock.Now()
+				beat.beats() // it ended, and had told all so far
+			}
 			return x.unreadable(err, beat.failed)
 		}
 		begunAt := beat.begunAt
@@ -114,6 +119,11 @@
 	}
 }
 
+// endedThere says whether the other side ended the stream.
+func endedThere(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // unreadable is the error of a list that could not be read, failed that of the stream it came on, if that broke.
 func (x *watch) unreadable(err, failed error) error {
 	switch {
