--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -35,7 +35,7 @@
 	windFor    = 700.0  // before SIGKILL, to finish what is there
 	lastFor    = 300.0  // before SIGKILL, to answer what is not finished
 	endFor     = 60.0   // before SIGKILL, to end whatever clients do
-	firstFor   = 1000.0 // for the first list, before clients are let in
+	firstFor   = 4000.0 // for a list that may be acted on, before clients are let in all the same
 	statsEvery = 10_000.0
 	reserve    = 64 // descriptors kept for discovery, the log and the runtime
 )
@@ -106,7 +106,6 @@
 	peers    *peers.Link     // nil where schedulers may not speak to one another
 	duties   *duties.Host    // nil while that is off
 	killAt   float64         // milliseconds from SIGTERM to SIGKILL, at least
-	asks     bool            // there is a discovery to be heard
 }
 
 // ruling is a document of the fleet's as the core keeps it.
@@ -139,7 +138,7 @@
 // assemble puts the parts together; nothing runs yet.
 func assemble(cfg *config.Config, op *config.Operator, clk clock.Clock, log *slog.Logger) (*scheduler, error) {
 	stack, inv := httpio.NewStack(), invariant.New()
-	s := &scheduler{log: log, clock: clk, inv: inv, asks: cfg.Discovery != ""}
+	s := &scheduler{log: log, clock: clk, inv: inv}
 	places := cfg.Limits.Sockets - reserve
 	if op != nil && op.Gearman != nil {
 		places -= op.Gearman.Connections
@@ -257,9 +256,7 @@
 			}
 		})
 	}
-	if s.asks {
-		s.await(ctx, s.watch.Heard(), firstFor) // before the first list nothing can be served
-	}
+	s.await(ctx, s.core.Fresh(), firstFor) // before that nothing can be served
 	s.listener.SetReady(ctx.Err() == nil)
 	<-ctx.Done()
 	s.log.Info("winding down")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -73,6 +73,7 @@
 	classes map[string]*balance.Class
 	// finished says that the program ends: nothing is taken in any more.
 	finished bool
+	fresh    chan struct{} // closed once there is a list that may be acted on
 	ruling
 	listLease
 }
@@ -93,7 +94,7 @@
 	c := &Core{cfg: cfg, log: cfg.Log, clock: cfg.Clock, inv: cfg.Invariants, module: module,
 		sources: map[string]*source{}, events: make(chan event, 1024), done: make(chan struct{}),
 		flows: map[uint64]*flow{}, byID: map[string]*flow{}, targets: map[string]*source{},
-		books: Books{Dropped: map[string]int{}}, longest: map[string]float64{},
+		fresh: make(chan struct{}), books: Books{Dropped: map[string]int{}}, longest: map[string]float64{},
 		classes: map[string]*balance.Class{}, ruling: ruling{rules: Rules{Cold: 1}}}
 	for i := range cfg.Settings.Classes {
 		class := &cfg.Settings.Classes[i]
@@ -144,6 +145,10 @@
 	}
 }
 
+// Fresh returns a channel that is closed once there is a list that may be acted on, by discovery's own word or one that was
+// passed on.
+func (c *Core) Fresh() <-chan struct{} { return c.fresh }
+
 // Idle returns a channel that is closed once no flow is open.
 func (c *Core) Idle() <-chan struct{} {
 	ch := make(chan struct{})
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -34,6 +34,7 @@
 // startLease sets the lease up for the source that is watched.
 func (c *Core) startLease() (err error) {
 	if c.cfg.ListLease <= 0 {
+		close(c.fresh)
 		return nil
 	}
 	for _, s := range c.sources {
@@ -188,6 +189,9 @@
 		after := c.clock.Now() - c.lapsedAt
 		c.books.LapsedFor += after
 		c.lapsedAt = math.Inf(1)
+		if c.books.Lapses == 0 {
+			close(c.fresh)
+		}
 		c.log.Info("lease on the list renewed", "lapsed_ms", after, "watching", c.lease.Watching())
 	case lapsed && math.IsInf(c.lapsedAt, 1):
 		c.books.Lapses++
