Have the outages in virtual time begin by each scheduler's own first call

The model opened all watches at once, so that the spread of first calls was not played and its heartbeats came together.

--- a/internal/freshness/outage_test.go
+++ b/internal/freshness/outage_test.go
@@ -71,7 +71,7 @@
 			require.NoError(t, err)
 		}
 		o.nodes = append(o.nodes, n)
-		o.At(0, func() { o.list(n, balance.FromDisk); o.open(n) }) // it is answered at once
+		o.At(0, func() { o.list(n, balance.FromDisk) })
 		o.At(outageBegins, func() { o.fail(n) })
 	}
 	return o
@@ -87,9 +87,7 @@
 			timer := a.Timer
 			o.After(float64(a.After)/1e6, func() { o.step(n, balance.Event{Kind: balance.TimerDue, Timer: timer}) })
 		case balance.Subscribe:
-			if o.Now > 0 {
-				o.call(n)
-			}
+			o.call(n)
 		}
 	}
 }
@@ -125,8 +123,12 @@
 	o.after(n)
 }
 
-// call has a scheduler wait for its turn, for as long as discovery lets it.
+// call has a scheduler wait for its turn, for as long as discovery lets it. Before the outage it is answered at once.
 func (o *outage) call(n *outageNode) {
+	if o.Now < outageBegins {
+		o.open(n)
+		return
+	}
 	c := &call{node: n}
 	o.After(callLimit, func() {
 		if !c.over {
