--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -224,6 +224,9 @@
 
 // run serves until ctx ends, then goes on until all that was taken is answered.
 func (s *scheduler) run(ctx context.Context, re *reload, ln, gln net.Listener) {
+	tooLong := s.clock.NewAlarm() // to wait for a list
+	defer tooLong.Stop()
+	tooLong.Set(s.clock.Now() + firstFor)
 	inner, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
 	defer all.Wait()
@@ -256,7 +259,11 @@
 			}
 		})
 	}
-	s.await(ctx, s.core.Fresh(), firstFor) // before that nothing can be served
+	select { // before that nothing can be served
+	case <-s.core.Fresh():
+	case <-tooLong.C():
+	case <-ctx.Done():
+	}
 	s.listener.SetReady(ctx.Err() == nil)
 	<-ctx.Done()
 	s.log.Info("winding down")
@@ -305,18 +312,6 @@
 	}
 }
 
-// await waits for something to happen, for so many milliseconds at most.
-func (s *scheduler) await(ctx context.Context, happens <-chan struct{}, within float64) {
-	a := s.clock.NewAlarm()
-	defer a.Stop()
-	a.Set(s.clock.Now() + within)
-	select {
-	case <-happens:
-	case <-a.C():
-	case <-ctx.Done():
-	}
-}
-
 func (s *scheduler) sleep(ms float64) {
 	a := s.clock.NewAlarm()
 	defer a.Stop()
--- a/internal/net/target/target.go
+++ b/internal/net/target/target.go
@@ -203,17 +203,16 @@
 func (t *Transport) run(a *attempt) {
 	back, rep := t.exchange(a)
 	close(a.read)
-	t.mu.Lock()
-	delete(t.running, a.Ref)
-	t.mu.Unlock()
 	a.enter(over, nil)
 	if a.Job.Body != nil {
 		a.Job.Body.Release()
 	}
-	if back == "" { // 202: the call-backs tell the rest
-		return
+	if back != "" { // after a 202 the call-backs tell the rest
+		t.end(a.Ref, back, rep)
 	}
-	t.end(a.Ref, back, rep)
+	t.mu.Lock()
+	delete(t.running, a.Ref)
+	t.mu.Unlock()
 }
 
 func (t *Transport) end(r core.Ref, back httpio.Exchange, rep balance.Report) {
