Have the test of dated words wait for each deadline by number

Trace: the test took any deadline asked for after its write as the sign that the write had been read, but the deadline of the watch's opening may be asked for that late. So the clock was set on before half the list was read.

The test now waits for the exact number of deadlines of each step, here and in the test of a watch that ends amid a list: nothing of what it checks has changed.

--- a/internal/net/discovery/stream_test.go
+++ b/internal/net/discovery/stream_test.go
@@ -93,6 +93,11 @@
 	}, c
 }
 
+// awaitDeadlines waits until the watcher has asked its clock for this many deadlines, one for each step that is named.
+func (s *stand) awaitDeadlines(many int, steps string) {
+	require.Eventually(s.t, func() bool { return s.clk.asked() == many }, 10*time.Second, time.Millisecond, steps)
+}
+
 func (s *stand) list(n int) string {
 	b, err := json.MarshalIndent(map[string]any{"index": n, "snapshot": false, "endpoints": []map[string]any{{"name": fmt.Sprint("t", n), "status": "DRAINING"}}}, "", "  ")
 	require.NoError(s.t, err)
@@ -125,7 +130,7 @@
 	_, chunk, c := s.open()
 	chunk(s.list(42))
 	require.Equal(t, "t42", (<-s.groups).Targets[0].ID)
-	require.Eventually(t, func() bool { return s.clk.asked() == 5 }, 10*time.Second, time.Millisecond, "ask, answer, open, begun, whole")
+	s.awaitDeadlines(5, "ask, answer, open, begun, whole")
 	s.clk.mu.Lock()
 	s.clk.short = 300 * time.Millisecond
 	s.clk.mu.Unlock()
@@ -248,16 +253,13 @@
 	s := newStand(t)
 	signs := make(chan float64, 9)
 	s.w.SignOfLife = func(readAt float64) { signs <- readAt }
-	reads := func(what string, write func()) {
-		asked := s.clk.asked()
-		write()
-		require.Eventually(t, func() bool { return s.clk.asked() > asked }, 10*time.Second, time.Millisecond, what)
-	}
 	s.w.Watch()
 	_, chunk, c := s.open()
-	reads("an empty line before the list", func() { chunk("\n") })
+	chunk("\n")
+	s.awaitDeadlines(4, "ask, answer, open, the empty line")
 	s.clk.Advance(99)
-	reads("half a list", func() { chunk(s.list(42)[:20]) })
+	chunk(s.list(42)[:20])
+	s.awaitDeadlines(5, "and half a list")
 	s.clk.Advance(900)
 	chunk(s.list(42)[20:] + s.list(43)[:20])
 	require.Equal(t, 100.0, (<-s.groups).ReadAt)
@@ -287,9 +289,8 @@
 			c.Close()
 		}, true},
 		"amid a list": {func(s *stand, chunk func(string), c net.Conn) {
-			asked := s.clk.asked()
 			chunk(s.list(43)[:20])
-			require.Eventually(s.t, func() bool { return s.clk.asked() > asked }, 10*time.Second, time.Millisecond)
+			s.awaitDeadlines(6, "ask, answer, open, begun, whole, begun")
 			c.Close()
 		}, false},
 		"by ourselves": {func(s *stand, chunk func(string), _ net.Conn) {
