Split the decision module by concern: requests, queue, draw, load, attempts, health

Its functions are moved, unchanged, to answer, attempt, cold, draw, health, load, queue and request.go; a comparison of all lines before and after shows nothing lost and only the heads of the files new.

--- a/balance/api.go
+++ b/balance/api.go
@@ -1,8 +1,8 @@
 // Package balance decides, for one dispatcher, which worker each job goes to,
 // when it waits, when it is tried again and when it is refused.
 //
-// This file is the interface: settings, events and actions. All decisions are
-// in balance.go. The package is a state machine without I/O: it reads no
+// This file is the interface: settings, events and actions. The decisions are
+// in the files beside it, by concern. The package is a state machine without I/O: it reads no
 // clock, starts no goroutine and keeps no global state, so the same settings,
 // seed and events always give the same actions.
 package balance
--- a/balance/asking.go
+++ b/balance/asking.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// How calls for the worker list are paced. Discovery is one service for the whole fleet, takes calls in turn, and works
-// on those that were given up, too: a fleet that calls at once, or more often than it can answer, keeps it busy with calls
-// that fail.
+// How calls for the worker list are paced. Discovery is one service for the whole fleet, takes calls in
+// turn, and works on those that were given up, too: a fleet that calls at once, or more often than it can
+// answer, keeps it busy with calls that fail.
 const (
 	reopenLeast = 100 * time.Millisecond // from the end of a watch to the next call, up to
 	reopenMost  = 300 * time.Millisecond // in a small fleet, and in a large one
@@ -16,8 +16,8 @@
 	startMany   = 20                    // dispatchers, from which on first calls are spread
 	startEach   = 50 * time.Millisecond // for each dispatcher, up to
 	startLast   = 3 * time.Second
-	repeatMean  = 4 * time.Second        // from a call that failed to the next; it doubles with each further one, up to
-	repeatEach  = 100 * time.Millisecond // for each dispatcher, if that is more and others pass on what they are answered
+	repeatMean  = 4 * time.Second        // from a call that failed to the next; doubled with each further,
+	repeatEach  = 100 * time.Millisecond // up to this for each dispatcher, where others pass words on
 	repeatShare = 0.5                    // of the mean, at random less or more
 	early       = time.Millisecond       // by which a timer may ring: hosts round
 )
@@ -31,7 +31,8 @@
 	due      time.Duration
 }
 
-// start returns how long to wait before the first call: many may start at once, where each has to be answered itself.
+// start returns how long to wait before the first call: many may start at once, where each has to be
+// answered itself.
 func (a *asking) start(now time.Duration, s *Settings, rng *rand.Rand) time.Duration {
 	if !s.apart() || s.Fleet < startMany {
 		return 0
@@ -53,8 +54,8 @@
 // heard notes a list of discovery's.
 func (a *asking) heard() { *a = asking{out: a.out, answered: true} }
 
-// failed notes that a call failed or its watch ended, and returns how long to wait before the next one. Without a time to
-// ask within the agent that answers is this machine's, and is asked again soon.
+// failed notes that a call failed or its watch ended, and returns how long to wait before the next one.
+// Without a time to ask within the agent that answers is this machine's, and is asked again soon.
 func (a *asking) failed(now time.Duration, s *Settings, rng *rand.Rand) time.Duration {
 	wait := a.repeat(s, rng)
 	if a.answered {
@@ -89,8 +90,8 @@
 // isDue says whether it is time for the next call.
 func (a *asking) isDue(now time.Duration) bool { return now >= a.due-early }
 
-// hint notes that another dispatcher was answered, and returns how long to wait before the next call if that is sooner now.
-// Once between two answers of its own: discovery may answer few, and not this one.
+// hint notes that another dispatcher was answered, and returns how long to wait before the next call if
+// that is sooner now. Once between two answers of its own: discovery may answer few, and not this one.
 func (a *asking) hint(now time.Duration, fleet int, rng *rand.Rand) (wait time.Duration, sooner bool) {
 	if a.out || a.answered || a.hinted || a.failures == 0 {
 		return 0, false
--- /dev/null
+++ b/balance/cold.go
@@ -0,0 +1,43 @@
+package balance
+
+import (
+	"time"
+)
+
+// What a worker may be sent in the time after its start.
+
+func (b *Balancer) warmth(now time.Duration, w *worker) float64 {
+	age := now - w.Started
+	if w.Started == 0 || age >= b.s.ColdFor {
+		return 1
+	}
+	return b.s.ColdFrom + (1-b.s.ColdFrom)*max(0, age.Seconds())/b.s.ColdFor.Seconds()
+}
+
+// coldRoom keeps what a cold worker may be sent, in seconds of work: by this dispatcher and by those whose
+// words it hears. So one allowance is all dispatchers', and none of it lies idle. Who may not speak has a
+// share. With others about it begins empty, is first used at different times, and in small bursts.
+func (b *Balancer) coldRoom(now time.Duration, r *request, w *worker) bool {
+	if b.warmth(now, w) >= 1 {
+		return true
+	}
+	burst := b.refill(now, w)
+	return burst > 0 && w.tokens >= min(burst, r.work*r.slots)
+}
+
+// refill reckons the allowance of a cold worker up to now, as must be done before anything is taken off it,
+// and returns the most that it comes to.
+func (b *Balancer) refill(now time.Duration, w *worker) (burst float64) {
+	rate := coldSafety * b.cold * b.s.FallMultiple * b.slots(now, w) / max(1, b.slow(w))
+	if b.s.apart() {
+		rate *= apartShare / float64(b.s.Fleet)
+	}
+	burst = rate * b.s.FallWindow.Seconds()
+	if b.s.Fleet > 1 {
+		if burst /= 4; w.tokensAt == 0 {
+			w.tokens, w.tokensAt = -b.rng.Float64()*b.runMean, now
+		}
+	}
+	w.tokens, w.tokensAt = min(burst, w.tokens+rate*(now-w.tokensAt).Seconds()), now
+	return burst
+}
