Log each attempt with its request's id, and the reason of each refusal, retry and close

Its logs could not say why requests were sent where they were, what had renewed a lease, or why a connection was closed: counts alone, without ids.

The module says with each refusal, failure and withdrawal why (balance.Reason; the judge of its random tests wants one with each). The core counts them and, at the debug level, writes a line for each attempt that begins, ends, is given up or is not begun, with the request's id, the outcome before it and how long the lease on its target still lasts, and for each word of discovery. The transport and the listener count closed connections by reason. No decision is changed: the condition that ended a request after an attempt is the same one, read as a list of reasons.

Tests: reasons told and counted, why an attempt does not begin, closes of idle, stale, evicted and spared connections. Answers that tests compare whole now hold the reason, too.

--- a/balance/api.go
+++ b/balance/api.go
@@ -172,6 +172,15 @@
 	NeverSent
 )
 
+var resultNames = [...]string{"served", "failed", "full", "timed out", "no connection", "reset", "cancelled", "never sent"}
+
+func (r Result) String() string {
+	if r < 0 || int(r) >= len(resultNames) {
+		return fmt.Sprintf("result %d", int(r))
+	}
+	return resultNames[r]
+}
+
 // ListScope says what a worker list holds.
 type ListScope int
 
@@ -282,4 +291,5 @@
 	Raw     string
 	To      []int // numbers of dispatchers; nil: every other
 	Failing bool
+	Reason  Reason // of Refuse, Fail and Cancel
 }
--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -8,11 +8,11 @@
 
 // Attempts from their begin to their end.
 
-func (b *Balancer) cancel(r *request, i int) {
+func (b *Balancer) cancel(r *request, i int, reason Reason) {
 	a := &r.attempts[i]
 	if a.out && b.s.Cancel && !a.cancelled && b.s.TellsStart {
 		a.cancelled = true
-		b.do(Action{Kind: Cancel, Request: r.id, Attempt: i})
+		b.do(Action{Kind: Cancel, Request: r.id, Attempt: i, Reason: reason})
 	}
 }
 
@@ -61,7 +61,7 @@
 	}
 	if now >= next {
 		b.short(true)
-		b.answer(now, r)
+		b.answer(now, r, b.whyLate(now, r))
 		return
 	}
 	for i := range r.attempts {
@@ -136,7 +136,7 @@
 	if b.s.Duplicates {
 		b.send(now, r, w)
 	} else {
-		b.cancel(r, i)
+		b.cancel(r, i, UnfitTarget)
 	}
 }
 
@@ -177,7 +177,7 @@
 	}
 	for i := range r.attempts {
 		if r.attempts[i].startAt == 0 {
-			b.cancel(r, i)
+			b.cancel(r, i, OtherBegan)
 		}
 	}
 }
@@ -204,17 +204,23 @@
 	case r.done:
 		b.forget(r)
 	case ev.Final:
-		b.close(now, r)
-	case now >= r.answerBy || r.outs == 0 && (len(r.attempts) >= r.class.attempts || now >= r.hopeBy ||
-		b.retries < 0 || r.class.Effect == Unsafe && b.mayHaveRun(r) != nil),
-		// Where no start is told, to try on after 'full' fills every queue until all answers are late.
-		ev.Result == Full && r.outs == 0 && !b.s.TellsStart:
-		b.answer(now, r)
-	case r.outs == 0 && !r.held:
+		b.close(now, r, OtherServed)
+	default:
+		b.goOn(now, r, ev.Result)
+	}
+	b.place(now)
+}
+
+// goOn holds a request for a further attempt after one has ended, or answers it if there may be none.
+func (b *Balancer) goOn(now time.Duration, r *request, last Result) {
+	if reason := b.whyNoFurther(now, r, last); reason != "" {
+		b.answer(now, r, reason)
+		return
+	}
+	if r.outs == 0 && !r.held {
 		r.home = b.newHome()
 		b.hold(now, r)
 	}
-	b.place(now)
 }
 
 // learn takes from a served attempt how long jobs of its class run and how fast the worker is.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -173,7 +173,7 @@
 		b.arrived(now, ev)
 	case Departed:
 		if r := b.reqs[ev.Request]; r != nil && !r.done {
-			b.close(now, r)
+			b.close(now, r, ClientLeft)
 			b.place(now) // its slot, or the turn of its key, may be another's now
 		}
 	case Ended:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1367,7 +1367,7 @@
 	}
 	h.b.reqs[9] = wide
 	for range 15 {
-		h.b.answer(h.now, wide)
+		h.b.answer(h.now, wide, NoRoom)
 	}
 	if h.b.value(h.now, wide) <= h.b.value(h.now, small) {
 		t.Errorf("wide %g, small %g, though the wide are served worse", h.b.value(h.now, wide), h.b.value(h.now, small))
--- a/balance/request.go
+++ b/balance/request.go
@@ -15,7 +15,7 @@
 func (b *Balancer) arrived(now time.Duration, ev *Event) {
 	c := b.classes[ev.Class]
 	if c == nil {
-		b.do(Action{Kind: Refuse, Request: ev.Request})
+		b.do(Action{Kind: Refuse, Request: ev.Request, Reason: UnknownClass})
 		return
 	}
 	r := &request{id: ev.Request, class: c, slots: max(ev.Slots, 1), hint: ev.Hint.Seconds(),
@@ -91,10 +91,10 @@
 }
 
 // close ends what the dispatcher owes for r and stops its attempts.
-func (b *Balancer) close(now time.Duration, r *request) {
+func (b *Balancer) close(now time.Duration, r *request, reason Reason) {
 	r.done = true
 	for i := range r.attempts {
-		b.cancel(r, i)
+		b.cancel(r, i, reason)
 	}
 	if r.held {
 		r.held = false
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -81,6 +81,9 @@
 				continue
 			}
 		}
+		if told := a.Reason != ""; told != (a.Kind == Refuse || a.Kind == Fail || a.Kind == Cancel) {
+			j.fail(now, "action %d with the reason %q", a.Kind, a.Reason)
+		}
 		switch a.Kind {
 		case Send:
 			j.send(now, r, a)
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -337,6 +337,7 @@
 		b, n, l := s.core.Books(), &s.targets.Counts, &s.listener.Counts
 		s.log.Info("books", "open", b.Open, "taken", b.Taken, "served", b.Served, "refused", b.Refused, "failed", b.Failed,
 			"left", b.Left, "sends", b.Sends, "cancels", b.Cancels, "probes", b.Probes, "withheld", b.Withheld, "lists", b.Lists, "lapses", b.Lapses, "lapsed_ms", b.LapsedFor, "refused_lapsed", b.RefusedLapsed, "words_told", b.WordsTold, "words_passed_on", b.WordsPassedOn, "list_failures", b.ListFailures, "outcomes", b.Outcomes, "dropped", b.Dropped,
-			"dialled", n.Dialled.Load(), "reused", n.Reused.Load(), "retired", n.Retired.Load(), "unheard", n.Unheard.Load(), "told", told, "heard", heard, "rejected", l.Rejected.Load(), "evicted", l.Evicted.Load(), "spared", l.Spared.Load(), "turned_off", l.TurnedOff.Load(), "unreadable_datagrams", b.Unreadable, "room", b.Room, "invariants", s.inv.Counts())
+			"refused_by", b.Reasons.Refused, "failed_by", b.Reasons.Failed, "given_up_by", b.Reasons.GivenUp, "not_begun_by", b.Reasons.NotBegun, "retries_after", b.Reasons.Retries,
+			"dialled", n.Dialled.Load(), "reused", n.Reused.Load(), "retired", n.Retired.Load(), "unheard", n.Unheard.Load(), "told", told, "heard", heard, "rejected", l.Rejected.Load(), "evicted", l.Evicted.Load(), "spared", l.Spared.Load(), "turned_off", l.TurnedOff.Load(), "closed_to_targets", n.Closes.Counts(), "closed_to_clients", l.Closes.Counts(), "unreadable_datagrams", b.Unreadable, "room", b.Room, "invariants", s.inv.Counts())
 	}
 }
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -13,19 +13,16 @@
 		// Two flows of one id could not be told apart by what targets call back, and a target
 		// would hold two attempts of one request. The first one keeps the id.
 		c.books.Twice++
-		f.From.Answer(Answer{Kind: Failed})
-		c.free(f)
+		c.turnAway(f, Answer{Kind: Failed, Reason: idInUse})
 		return
 	case c.finished:
 		c.books.Refused++
-		f.From.Answer(Answer{Kind: Refused, RetryAfter: c.cfg.ComeBack})
-		c.free(f)
+		c.turnAway(f, Answer{Kind: Refused, RetryAfter: c.cfg.ComeBack, Reason: ending})
 		return
 	case c.cfg.MaxOpen > 0 && c.open >= c.cfg.MaxOpen:
 		c.books.Full++
 		c.books.Refused++
-		f.From.Answer(Answer{Kind: Refused, RetryAfter: c.cfg.ComeBack})
-		c.free(f)
+		c.turnAway(f, Answer{Kind: Refused, RetryAfter: c.cfg.ComeBack, Reason: tooManyOpen})
 		return
 	}
 	if c.cfg.Asked != nil && c.firstTry(f) {
@@ -40,6 +37,13 @@
 		First: f.First, Priority: f.Job.Priority})
 }
 
+// turnAway answers a flow that is not admitted.
+func (c *Core) turnAway(f *flow, ans Answer) {
+	c.trace.answered(f, &ans)
+	f.From.Answer(ans)
+	c.free(f)
+}
+
 // firstTry says whether a request is no later try of one that was refused, as far as can be known: these
 // come with less of their client's patience left.
 func (c *Core) firstTry(f *flow) bool {
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -26,6 +26,7 @@
 	Open, Targets                        int
 	Room                                 slog.Value // of held room; empty while it is off
 	Unreadable                           int        // datagrams that could not be read
+	Reasons                              Reasons
 }
 
 func (b *Books) outcome(r balance.Result) {
@@ -42,7 +43,7 @@
 	for _, a := range f.attempts {
 		fmt.Fprintf(&tries, " %s %.0f", a.target, a.sentAt-taken)
 		if a.ended {
-			fmt.Fprintf(&tries, "-%.0f=%d", a.endedAt-taken, a.result)
+			fmt.Fprintf(&tries, "-%.0f=%v", a.endedAt-taken, a.result)
 		}
 	}
 	return slog.GroupValue(slog.String("id", f.ID), slog.String("class", f.Class), slog.Float64("slots", f.Slots), slog.Float64("patience", f.Patience),
@@ -101,6 +102,7 @@
 func (e readBooks) apply(c *Core) {
 	b := c.books
 	b.Dropped = maps.Clone(b.Dropped)
+	b.Reasons = c.trace.reasons.clone()
 	b.Open, b.Targets, b.Unreadable, b.Withheld = c.open, len(c.targets), c.module.Unreadable+c.unreadable, c.withholds()
 	if p := c.module.Room(); p != nil {
 		b.Room = p.LogValue()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,6 +68,7 @@
 	steps   []balance.Event // for the module, in order
 	acts    []balance.Action
 	books   Books
+	trace   trace
 	idle    []chan struct{}    // closed once no flow is open
 	longest map[string]float64 // patience that came with a request, by class
 	classes map[string]*balance.Class
@@ -94,7 +95,7 @@
 	c := &Core{cfg: cfg, log: cfg.Log, clock: cfg.Clock, inv: cfg.Invariants, module: module,
 		sources: map[string]*source{}, events: make(chan event, 1024), done: make(chan struct{}),
 		flows: map[uint64]*flow{}, byID: map[string]*flow{}, targets: map[string]*source{},
-		fresh: make(chan struct{}), books: Books{Dropped: map[string]int{}}, longest: map[string]float64{},
+		fresh: make(chan struct{}), books: Books{Dropped: map[string]int{}}, trace: newTrace(cfg.Log), longest: map[string]float64{},
 		classes: map[string]*balance.Class{}, ruling: ruling{rules: Rules{Cold: 1}}}
 	for i := range cfg.Settings.Classes {
 		class := &cfg.Settings.Classes[i]
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -147,7 +147,7 @@
 	require.True(t, math.IsInf(b.core.latest(f, 1), 1))
 	b.core.steps = nil
 	finishAll{}.apply(b.core)
-	require.Equal(t, []Answer{{Kind: Refused, RetryAfter: 1000}}, b.answers)
+	require.Equal(t, []Answer{{Kind: Refused, RetryAfter: 1000, Reason: ending}}, b.answers)
 }
 
 func invariantsPanic() (yes bool) {
@@ -163,7 +163,7 @@
 		b.do(ended{Outcome{Ref: b.started[len(b.started)-1].Ref, Result: balance.NoConnection}})
 		b.pass(10)
 	}
-	require.Equal(t, []Answer{{Kind: Refused, RetryAfter: 1000}}, b.answers)
+	require.Equal(t, []Answer{{Kind: Refused, RetryAfter: 1000, Reason: balance.AttemptsOver}}, b.answers)
 }
 
 func TestKeyedThatMayHaveRunIsNotRefused(t *testing.T) {
@@ -197,12 +197,12 @@
 	require.NoError(t, err)
 	b.take("x", "c")
 	b.do(takeIn{&Request{ID: "x", Class: "c", Patience: 5000, From: b, Job: Job{Body: body}}, b.clock.Now()})
-	require.Equal(t, []Answer{{Kind: Failed}}, b.answers, "the id is in use")
+	require.Equal(t, []Answer{{Kind: Failed, Reason: idInUse}}, b.answers, "the id is in use")
 	require.Zero(t, body.Len(), "its body was given back")
 	for _, id := range []string{"2", "3", "4", "5", "6"} {
 		b.take(id, "c")
 	}
-	require.Equal(t, Answer{Kind: Refused, RetryAfter: 1000}, b.answers[1], "too many are open")
+	require.Equal(t, Answer{Kind: Refused, RetryAfter: 1000, Reason: tooManyOpen}, b.answers[1], "too many are open")
 	b.take("7", "dance")
 	require.Len(t, b.answers, 3)
 	b.do(left{&Request{ID: "x", From: b}})
@@ -329,9 +329,9 @@
 	sent := len(b.started)
 	b.do(finishAll{})
 	require.Len(t, b.answers, 2)
-	require.Contains(t, b.answers, Answer{Kind: Failed}, "it may have run")
+	require.Contains(t, b.answers, Answer{Kind: Failed, Reason: ending}, "it may have run")
 	b.take("z", "c")
-	require.Equal(t, Answer{Kind: Refused, RetryAfter: 1000}, b.answers[2])
+	require.Equal(t, Answer{Kind: Refused, RetryAfter: 1000, Reason: ending}, b.answers[2])
 	require.Len(t, b.started, sent)
 	b.do(ended{Outcome{Ref: b.started[0].Ref, Result: balance.Full}})
 	b.pass(6000)
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -86,6 +86,7 @@
 
 func (e signOfLife) apply(c *Core) {
 	c.books.SignsOfLife++
+	c.trace.word("a sign of life", c.clock.Now()-e.readAt)
 	if s := c.sources[e.from]; s != nil && c.lease != nil && s == c.leased {
 		c.leaseReviewed(s, c.lease.SignOfLife(c.clock.Now(), e.readAt))
 	}
@@ -142,6 +143,7 @@
 	c.sendWords(out)
 	if changed {
 		c.books.WordsPassedOn++
+		c.trace.word("another scheduler", c.lease.Age(c.clock.Now()))
 		c.step(balance.Event{Kind: balance.Answered})
 	}
 	c.leaseReviewed(c.leased, changed)
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -45,7 +45,7 @@
 		// The word may be of an earlier attempt there, which ended here without the target's word. Taken for this
 		// one's it would let a further attempt out beside it, so this one is given up first.
 		c.drop("an end that may be another attempt's")
-		c.cancel(Ref{f.number, n})
+		c.cancel(Ref{f.number, n}, doubtfulEnd)
 		return
 	}
 	c.conclude(f, n, Outcome{Ref: Ref{f.number, n}, Result: e.n.Result, Report: e.n.Report, Body: e.n.Body})
@@ -69,6 +69,7 @@
 		f.out = -1
 	}
 	c.books.outcome(o.Result)
+	c.trace.ended(f, n)
 	if o.Result == balance.OK && !f.answered {
 		c.relay(f, Answer{Kind: Served, Body: o.Body})
 	}
@@ -97,9 +98,7 @@
 	case Failed:
 		c.books.Failed++
 	}
-	if ans.Kind != Served {
-		c.log.Debug("not served", "flow", f)
-	}
+	c.trace.answered(f, &ans)
 	f.From.Answer(ans)
 	c.finish(f)
 }
@@ -112,7 +111,7 @@
 	}
 	c.log.Error("flow overdue: the module gave no answer in time", "flow", f.number, "id", f.ID, "class", f.Class)
 	c.inv.Check(false, "flow-overdue", "flow %d", f.number)
-	c.relay(f, Answer{Kind: Failed, TimedOut: true})
+	c.relay(f, Answer{Kind: Failed, TimedOut: true, Reason: overdueAnswer})
 	c.step(balance.Event{Kind: balance.Departed, Request: f.number})
 }
 
@@ -128,10 +127,10 @@
 		if f.answered {
 			continue
 		}
-		ans := Answer{Kind: Refused, RetryAfter: c.cfg.ComeBack}
+		ans := Answer{Kind: Refused, RetryAfter: c.cfg.ComeBack, Reason: ending}
 		for _, a := range f.attempts {
 			if c.mayHaveRun(&a) {
-				ans = Answer{Kind: Failed}
+				ans = Answer{Kind: Failed, Reason: ending}
 			}
 		}
 		c.log.Warn("finished before its time, as the program must end", "flow", f)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -34,7 +34,7 @@
 			c.inv.Check(false, "module-panic", "%v", v)
 			out = acts[:0]
 			if f := c.flows[ev.Request]; f != nil {
-				c.relay(f, Answer{Kind: Failed})
+				c.relay(f, Answer{Kind: Failed, Reason: modulePanic})
 			}
 		}
 	}()
@@ -47,7 +47,7 @@
 	case balance.Send:
 		c.send(a)
 	case balance.Cancel:
-		c.cancel(Ref{a.Request, a.Attempt})
+		c.cancel(Ref{a.Request, a.Attempt}, a.Reason)
 	case balance.Refuse:
 		if c.lease != nil && c.lease.Lapsed() {
 			c.books.RefusedLapsed++
@@ -56,10 +56,10 @@
 		if back <= 0 {
 			back = c.comeBack(a.Request)
 		}
-		c.giveUp(a.Request, Answer{Kind: Refused, RetryAfter: back})
+		c.giveUp(a.Request, Answer{Kind: Refused, RetryAfter: back, Reason: a.Reason})
 	case balance.Fail:
 		f := c.flows[a.Request]
-		c.giveUp(a.Request, Answer{Kind: Failed, TimedOut: f != nil && c.clock.Now() > f.deadline-100})
+		c.giveUp(a.Request, Answer{Kind: Failed, TimedOut: f != nil && c.clock.Now() > f.deadline-100, Reason: a.Reason})
 	case balance.Wake:
 		c.timers.add(timer{at: c.clock.Now() + clock.Millis(a.After), what: moduleTimer, id: a.Timer})
 	case balance.Probe:
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -22,13 +22,14 @@
 		c.inv.Check(f.out < 0 || c.cfg.Settings.Duplicates, "two-attempts-out", "flow %d", f.number) &&
 		c.inv.Check(n < c.cfg.Settings.MaxAttempts, "too-many-attempts", "flow %d", f.number) &&
 		c.inv.Check(s != nil, "send-unknown-target", "%s", a.Worker)
-	latest := c.latest(f, n)
-	if ok && latest <= 0 {
+	window := c.latest(f, n)
+	if ok && window <= 0 {
 		ok = c.inv.Check(false, "repeat-of-unsafe", "flow %d", f.number)
 	}
-	latest = min(latest, c.maySendUntil(s, a.Worker))
-	if !ok || now >= min(f.deadline, latest) {
+	lease := c.maySendUntil(s, a.Worker)
+	if reason := whyNotBegun(ok, now, f.deadline, window, lease); reason != "" {
 		f.attempts[n].ended, f.attempts[n].result = true, balance.NeverSent
+		c.trace.notBegun(f, reason)
 		c.step(balance.Event{Kind: balance.Ended, Request: f.number, Attempt: n, Worker: a.Worker,
 			Result: balance.NeverSent, Final: f.answered})
 		return
@@ -39,11 +40,28 @@
 	}
 	f.attempts[n].by, f.out = s.Transport, n
 	c.books.Sends++
+	c.trace.begun(f, lease-now)
 	c.timers.add(timer{at: by, what: attemptTimer, id: f.number, n: n})
 	if f.Job.Body != nil {
 		f.Job.Body.Retain()
 	}
-	s.Transport.Start(Attempt{Ref: Ref{f.number, n}, ID: f.ID, Class: f.Class, Target: a.Worker, Job: f.Job, Deadline: by, Latest: latest})
+	s.Transport.Start(Attempt{Ref: Ref{f.number, n}, ID: f.ID, Class: f.Class, Target: a.Worker, Job: f.Job, Deadline: by, Latest: min(window, lease)})
+}
+
+// whyNotBegun says why an attempt may not begin now; empty if it may. The rest are the times until which it could have begun:
+// its client's, that of repeats and that of the lease on its target.
+func whyNotBegun(allowed bool, now, client, window, lease float64) balance.Reason {
+	switch {
+	case !allowed:
+		return againstRules
+	case now >= client:
+		return pastItsTime
+	case now >= window:
+		return windowOfClass
+	case now >= lease:
+		return leaseOver
+	}
+	return ""
 }
 
 // latest is until when attempt n of a flow may leave: for ever, unless an earlier one may have run; then, by the class,
@@ -74,7 +92,7 @@
 
 // cancel gives an attempt up. It is over once the transport says so: until then the
 // target may not know, and a further attempt would be a second copy.
-func (c *Core) cancel(r Ref) {
+func (c *Core) cancel(r Ref, reason balance.Reason) {
 	f := c.flows[r.Flow]
 	if f == nil || r.N >= len(f.attempts) {
 		return
@@ -82,6 +100,7 @@
 	if a := &f.attempts[r.N]; !a.ended && !a.cancelling {
 		a.cancelling = true
 		c.books.Cancels++
+		c.trace.givenUp(f, r.N, reason)
 		a.by.Cancel(Attempt{Ref: r, ID: f.ID, Class: f.Class, Target: a.target})
 	}
 }
@@ -93,6 +112,6 @@
 	if f == nil || f.attempts[r.N].ended {
 		return
 	}
-	c.cancel(r)
+	c.cancel(r, attemptTime)
 	c.conclude(f, r.N, Outcome{Ref: r, Result: balance.TimedOut})
 }
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -59,6 +59,7 @@
 		return // the answer crossed its leaving
 	}
 	c.books.Left++
+	c.trace.left(f)
 	c.finish(f)
 	c.step(balance.Event{Kind: balance.Departed, Request: f.number})
 	c.route()
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -59,8 +59,9 @@
 type Answer struct {
 	Kind       AnswerKind
 	Body       string
-	RetryAfter float64 // Refused: when to come back, in milliseconds
-	TimedOut   bool    // Failed: because time ran out
+	RetryAfter float64        // Refused: when to come back, in milliseconds
+	TimedOut   bool           // Failed: because time ran out
+	Reason     balance.Reason // Refused, Failed: why, for the log
 }
 
 // Progress is news of a running attempt.
--- a/internal/net/listener/connectionslots.go
+++ b/internal/net/listener/connectionslots.go
@@ -26,6 +26,8 @@
 	job   bool    // it has brought a job
 	taken bool    // the place went to another connection
 	ended bool    // told to close, as it rested too long or the program ends
+	// reason is why it closes; only its own goroutine writes it.
+	reason httpio.CloseReason
 }
 
 // connectionSlots are the connections of a listener. A full house never keeps a new one waiting
@@ -53,7 +55,7 @@
 	if !s.budget.TryTake() && !s.evict() {
 		return nil, false
 	}
-	x := &connectionSlot{conn: c, since: s.clock.Now()}
+	x := &connectionSlot{conn: c, since: s.clock.Now(), reason: closedByClient}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.all[x] = true
@@ -69,6 +71,10 @@
 		s.going--
 	}
 	s.mu.Unlock()
+	if taken && x.reason == closedByClient { // it was closed from here, by evict
+		x.reason = closedPlace
+	}
+	s.counts.Closes.Note(x.reason)
 	x.conn.Close()
 	if !taken {
 		s.budget.Give()
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -55,7 +55,10 @@
 // Counts are a listener's figures, for the log: requests answered with an error of the
 // client's, places taken from connections that brought least, connections closed as too many
 // rested, and connections closed for want of a place.
-type Counts struct{ Rejected, Evicted, Spared, TurnedOff atomic.Int64 }
+type Counts struct {
+	Rejected, Evicted, Spared, TurnedOff atomic.Int64
+	Closes                               httpio.Closes
+}
 
 // Class is what the listener needs to know of a class.
 type Class struct {
@@ -112,6 +115,7 @@
 			// Every place has a request in work. To leave the connection waiting would keep call-backs
 			// waiting behind it, too; a target tries its call again.
 			l.Counts.TurnedOff.Add(1)
+			l.Counts.Closes.Note(closedNoPlace)
 			l.turnOff(&all, nc)
 			continue
 		}
@@ -156,7 +160,7 @@
 	// A new connection may have its first request on the way, so it is not closed unread while
 	// the program winds down, but a silent one must not hold its place.
 	if !l.slots.move(x, fresh, false, readFor) && !come(c) {
-		l.part(x)
+		l.part(x, l.slots.whyEnded(x))
 		return
 	}
 	begun := l.Clock.Now()
@@ -167,7 +171,7 @@
 			}
 			// Nothing came in time, or the connection was told to end; but a request may have come in that moment.
 			if !come(c) {
-				l.part(x)
+				l.part(x, l.slots.whyEnded(x))
 				return
 			}
 		}
@@ -177,20 +181,20 @@
 		}
 		if !l.slots.move(x, reading, false, within) { // its place is taken, and what has come is refused unread
 			l.reply(c, noPlace())
-			l.part(x)
+			l.part(x, closedPlace)
 			return
 		}
 		req, body, err := c.ReadRequest(l.Clock.Deadline(writeFor))
 		if err != nil {
 			if l.reject(c, err) {
-				l.part(x)
+				l.part(x, closedBad)
 			}
 			return
 		}
 		if !l.slots.move(x, serving, false, readFor) {
 			body.Release()
 			l.reply(c, noPlace())
-			l.part(x)
+			l.part(x, closedPlace)
 			return
 		}
 		if !l.answer(x, req, body) {
@@ -209,7 +213,7 @@
 	if l.slots.move(x, resting, job, idle) || come(x.conn) {
 		return true
 	}
-	l.part(x)
+	l.part(x, l.slots.whyEnded(x))
 	return false
 }
 
@@ -220,13 +224,6 @@
 	return here
 }
 
-// part closes a connection of which nothing more is taken.
-func (l *Listener) part(x *connectionSlot) {
-	if l.slots.close(x) {
-		httpio.CloseGently(x.conn, l.Clock.Deadline(lingerFor))
-	}
-}
-
 // reject answers what could not be read, if there may be somebody to answer, and says whether.
 func (l *Listener) reject(c *httpio.Conn, err error) bool {
 	l.Counts.Rejected.Add(1)
@@ -280,9 +277,10 @@
 	r.close = r.close || req.Close || l.slots.parting(x)
 	switch {
 	case !l.reply(x.conn, r):
+		x.reason = closedUnwritten
 		return false
 	case r.close:
-		l.part(x)
+		l.part(x, l.slots.whyLast(x, req.Close, false))
 		return false
 	}
 	return l.rest(x, false)
@@ -334,8 +332,11 @@
 		<-gone // had it gone in this moment, the answer may still arrive: it may have ended its own side alone
 	case err := <-gone:
 		ticket.Left()
-		if err == nil || errors.Is(err, httpio.ErrTooLarge) {
-			l.part(x) // no answer came in time; or a flood, which is no client of the protocol's
+		switch {
+		case err == nil:
+			l.part(x, closedLate)
+		case errors.Is(err, httpio.ErrTooLarge): // which is no client of the protocol's
+			l.part(x, closedFlood)
 		}
 		return false
 	}
@@ -344,9 +345,10 @@
 	p.close = last || flooded || l.slots.parting(x)
 	switch {
 	case !l.reply(c, p):
+		x.reason = closedUnwritten
 		return false
 	case p.close:
-		l.part(x)
+		l.part(x, l.slots.whyLast(x, last, flooded))
 		return false
 	}
 	return l.rest(x, true)
--- a/internal/net/listener/listener_test.go
+++ b/internal/net/listener/listener_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"testing"
 	"time"
@@ -40,10 +41,11 @@
 // A connection on which nothing comes, or half a request, must end by itself: bad clients
 // open them by hundreds, and each holds a place.
 func TestSilenceEnds(t *testing.T) {
-	_, dial := start(t, late{clock.NewManual(1e6)}, 9)
+	l, dial := start(t, late{clock.NewManual(1e6)}, 9)
 	got, err := io.ReadAll(dial())
 	require.NoError(t, err)
 	require.Empty(t, got)
+	l.closes(t, map[httpio.CloseReason]int{closedIdle: 1})
 }
 
 // Connections that bring nothing hold no place that another needs: first go those that were
@@ -71,6 +73,9 @@
 	asks(fourth)
 	require.EqualValues(t, 2, l.Counts.Evicted.Load())
 	require.Zero(t, l.Counts.TurnedOff.Load())
+	require.NoError(t, asked.Close())
+	require.NoError(t, silent.Close())
+	l.closes(t, map[httpio.CloseReason]int{closedPlace: 2})
 }
 
 // Clients may hold only so many connections, and some send one job on each and never come
@@ -103,6 +108,7 @@
 		}
 	}
 	require.EqualValues(t, 2, l.Counts.Spared.Load())
+	l.closes(t, map[httpio.CloseReason]int{closedSpared: 2})
 }
 
 // Who goes first, and who never does.
@@ -119,6 +125,12 @@
 	}
 }
 
+// closes waits until these connections were closed, by reason.
+func (l *Listener) closes(t *testing.T, want map[httpio.CloseReason]int) {
+	require.Eventually(t, func() bool { return maps.Equal(l.Counts.Closes.Counts(), want) }, 10*time.Second, time.Millisecond,
+		"%v, want %v", l.Counts.Closes.Counts(), want)
+}
+
 func (l *Listener) taken() int {
 	l.slots.mu.Lock()
 	defer l.slots.mu.Unlock()
--- a/internal/net/target/pool.go
+++ b/internal/net/target/pool.go
@@ -49,7 +49,7 @@
 // take returns a connection to the target, an idle one if there is one that has rested and still stands,
 // and how long it has rested.
 func (t *Transport) take(tg *target, address string) (c *httpio.Conn, rested float64, err error) {
-	t.retire(tg, t.rests.limit(t.IdleFor*retireShare))
+	t.retire(tg, t.rests.limit(t.IdleFor*retireShare), closedIdle)
 	for {
 		x, ok := tg.pool.last(t.Clock.Now() - restLeast)
 		if !ok {
@@ -60,7 +60,7 @@
 			return x.conn, max(0, t.Clock.Now()-x.since), nil
 		}
 		t.Counts.Retired.Add(1)
-		t.discard(x.conn)
+		t.discard(x.conn, closedStale)
 	}
 	if !t.Sockets.TryTake() && !t.evict() {
 		return nil, fresh, errNoSocket
@@ -91,7 +91,7 @@
 func (t *Transport) settle(tg *target, c *httpio.Conn, resp *http.Response) {
 	rest, err := c.ReadRest(resp, t.Clock.Deadline(bodyFor))
 	if err != nil {
-		t.discard(c)
+		t.discard(c, closedBody)
 		return
 	}
 	rest.Release()
@@ -100,9 +100,8 @@
 
 // put puts a connection back, unless the target closes it or has sent more than it was asked for.
 func (t *Transport) put(tg *target, c *httpio.Conn, last bool) {
-	// A deadline of the last exchange that passes meanwhile would make the connection look dead.
-	if last || c.Ahead() || c.SetDeadline(time.Time{}) != nil {
-		t.discard(c)
+	if reason := whyNotReused(c, last); reason != "" {
+		t.discard(c, reason)
 		return
 	}
 	tg.pool.mu.Lock()
@@ -110,13 +109,21 @@
 	tg.pool.idle = append(tg.pool.idle, idle{c, t.Clock.Now()})
 }
 
-func (t *Transport) discard(c *httpio.Conn) {
-	c.Close()
-	t.Sockets.Give()
+// whyNotReused says why no further request may go on a connection; empty if one may.
+func whyNotReused(c *httpio.Conn, last bool) httpio.CloseReason {
+	switch {
+	case last:
+		return closedLast
+	case c.Ahead():
+		return closedAhead
+	case c.SetDeadline(time.Time{}) != nil: // one that passes while it is idle would make it look dead
+		return closedBroken
+	}
+	return ""
 }
 
 // retire closes connections that have been idle so long, the oldest of which are at the bottom.
-func (t *Transport) retire(tg *target, after float64) {
+func (t *Transport) retire(tg *target, after float64, reason httpio.CloseReason) {
 	tg.pool.mu.Lock()
 	n := 0
 	for n < len(tg.pool.idle) && t.Clock.Now()-tg.pool.idle[n].since >= after {
@@ -127,7 +134,7 @@
 	tg.pool.mu.Unlock()
 	for _, x := range old {
 		t.Counts.Retired.Add(1)
-		t.discard(x.conn)
+		t.discard(x.conn, reason)
 	}
 }
 
@@ -141,6 +148,7 @@
 			c := tg.pool.idle[0].conn
 			tg.pool.idle = tg.pool.idle[1:]
 			tg.pool.mu.Unlock()
+			t.Counts.Closes.Note(closedPlace)
 			c.Close()
 			return true
 		}
--- a/internal/net/target/target.go
+++ b/internal/net/target/target.go
@@ -66,7 +66,10 @@
 }
 
 // Counts are a transport's figures, for the log.
-type Counts struct{ Dialled, Reused, Retired, Deletes, Unheard atomic.Int64 }
+type Counts struct {
+	Dialled, Reused, Retired, Deletes, Unheard atomic.Int64
+	Closes                                     httpio.Closes
+}
 
 // target is one shop worker. closed says that nothing new may be sent to it.
 type target struct {
@@ -107,7 +110,7 @@
 				tg.address = x.Address
 			}
 			tg.started = x.StartedMS
-			t.retire(tg, 0)
+			t.retire(tg, 0, closedGone)
 		}
 		tg.closed.Store(x.State != balance.Ready)
 		if x.State == balance.Gone {
@@ -122,7 +125,7 @@
 	for name, tg := range t.targets {
 		if !seen[name] {
 			tg.closed.Store(true)
-			t.retire(tg, 0)
+			t.retire(tg, 0, closedGone)
 			t.leave(tg)
 		}
 	}
@@ -138,7 +141,7 @@
 	t.gone = append(t.gone, tg.name)
 	for len(t.gone) > goneMost {
 		if old := t.targets[t.gone[0]]; old != nil && old.gone {
-			t.retire(old, 0)
+			t.retire(old, 0, closedGone)
 			delete(t.targets, old.name)
 		}
 		t.gone = t.gone[1:]
@@ -254,7 +257,7 @@
 		missing, err := c.Send(h, body, t.Clock.Deadline(writeFor))
 		c.Done(buf)
 		if err != nil || missing > 0 {
-			t.discard(c)
+			t.discard(c, closedUnwritten)
 			switch {
 			case missing == 0:
 				return httpio.BrokenAfter, none
@@ -271,7 +274,7 @@
 		// From here on nobody may close the connection for this attempt's sake: it goes back to the
 		// pool, and the next request on it would break.
 		if !a.enter(over, nil) {
-			t.discard(c)
+			t.discard(c, closedGivenUp)
 			if err == nil {
 				a.back, a.report = t.answered(a, resp), httpio.ParseLoad(resp.Header.Get("X-Pressure"))
 			}
@@ -279,7 +282,7 @@
 		}
 		switch {
 		case httpio.TimedOut(err):
-			t.discard(c)
+			t.discard(c, closedSilent)
 			return httpio.Silence, none
 		case errors.Is(err, httpio.ErrMalformed), errors.Is(err, httpio.ErrTooLarge):
 			// What came is no answer. The end of the connection gives the attempt up; the target has to have seen
@@ -289,7 +292,7 @@
 			t.wait(settle)
 			return httpio.BrokenAfter, none
 		case err != nil:
-			t.discard(c)
+			t.discard(c, closedBroken)
 			t.noteRest(rested, true)
 			return httpio.BrokenAfter, none
 		}
@@ -308,6 +311,7 @@
 // endOver ends a connection on which more may be on the way. It tells the target at once, then takes what still comes for
 // a while: a close over unread bytes would reset the connection, and the target might not see the end.
 func (t *Transport) endOver(c *httpio.Conn) {
+	t.Counts.Closes.Note(closedSpoilt)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
@@ -469,17 +473,17 @@
 	h := httpio.Start(buf, method, " ", path, " HTTP/1.1").Field("Host", t.Host)
 	by := t.Clock.Deadline(within)
 	if _, err := c.Send(h, nil, by); err != nil {
-		t.discard(c)
+		t.discard(c, whyBroken(err))
 		return 0, nil, "", fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	resp, err := c.ReadHead(method, by)
 	if err != nil {
-		t.discard(c)
+		t.discard(c, whyBroken(err))
 		return 0, nil, "", fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	body, err := c.ReadRest(resp, by)
 	if err != nil {
-		t.discard(c)
+		t.discard(c, whyBroken(err))
 		return 0, nil, "", fmt.Errorf("%s %s: %w", method, path, err)
 	}
 	defer body.Release()
--- a/internal/net/target/target_test.go
+++ b/internal/net/target/target_test.go
@@ -97,6 +97,7 @@
 	c, _ = b.serve(nil)
 	b.accept202(c)
 	require.EqualValues(t, 2, b.Counts.Dialled.Load())
+	require.Equal(t, map[httpio.CloseReason]int{closedStale: 1}, b.Counts.Closes.Counts())
 	require.Empty(t, b.sink.ended)
 }
 
@@ -116,6 +117,7 @@
 	c, _ = b.serve(nil)
 	b.accept202(c)
 	require.EqualValues(t, 1, b.Counts.Retired.Load())
+	require.Equal(t, map[httpio.CloseReason]int{closedIdle: 1}, b.Counts.Closes.Counts())
 }
 
 // An attempt given up before its 202 is over once the target has ended its side. One that is
