Count an attempt that is given up as waiting until its end is told

TestExchanges/left-after-refusal failed now and then: the second request was never sent. The new log lines show why: 'attempt ended ... result=full elapsed_ms=1000'. A given-up attempt whose target had answered was struck off the waiting ones before its end was told, so the script set its clock on by 1 s first; the module then took the refusal for new and held the next request back.

Whoever gave the attempt up strikes it off, once it has told.

--- a/internal/net/target/target.go
+++ b/internal/net/target/target.go
@@ -85,7 +85,8 @@
 	return &Transport{Config: cfg, targets: map[string]*target{}, running: map[core.Ref]*attempt{}}
 }
 
-// Waiting is how many attempts have no answer of their target yet, not even a 202.
+// Waiting is how many attempts have no answer of their target yet, not even a 202, and how many that were given up have not
+// been told to have ended.
 func (t *Transport) Waiting() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -206,16 +207,23 @@
 func (t *Transport) run(a *attempt) {
 	back, rep := t.exchange(a)
 	close(a.read)
-	a.enter(over, nil)
+	givenUp := !a.enter(over, nil)
 	if a.Job.Body != nil {
 		a.Job.Body.Release()
 	}
 	if back != "" { // after a 202 the call-backs tell the rest
 		t.end(a.Ref, back, rep)
 	}
+	if back != "" || !givenUp { // else giveUp tells how it ended
+		t.forget(a.Ref)
+	}
+}
+
+// forget takes an attempt that has its answer off those that wait for one.
+func (t *Transport) forget(r core.Ref) {
 	t.mu.Lock()
-	delete(t.running, a.Ref)
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	delete(t.running, r)
 }
 
 func (t *Transport) end(r core.Ref, back httpio.Exchange, rep balance.Report) {
@@ -349,6 +357,9 @@
 }
 
 func (t *Transport) giveUp(a core.Attempt, at *attempt) {
+	if !a.Unsent {
+		defer t.forget(a.Ref)
+	}
 	if at != nil {
 		at.mu.Lock()
 		was, c := at.stage, at.conn
