Let the exchange of the spoilt answer wait for the alarm that it rings

TestExchanges/spoilt failed about once in 100 plays under load: the script set the clock on by 10 ms before the program had set its alarm for then, and no second attempt came.

--- a/cmd/cottonwell/exchange_test.go
+++ b/cmd/cottonwell/exchange_test.go
@@ -242,6 +242,7 @@
 //	>. TEXT, <. TEXT                  the same without the line's end
 //	>p TYPE TEXT, <p TYPE TEXT        a Gearman packet; >. also takes \x00 and the like
 //	clock +MS                         time passes
+//	alarm +MS                         the same, once the program has set an alarm for then
 //	hup ADDRESS                       SIGHUP, after the file names that discovery; 'bad' breaks the file
 //	wind now, wound now               SIGTERM; wait until connections are no longer kept
 //	ready yes, ready no, heard now    whether clients are let in; wait until they are, as discovery was heard
@@ -320,9 +321,12 @@
 			}
 		default:
 			switch name {
-			case "clock":
+			case "clock", "alarm":
 				ms, err := strconv.ParseFloat(verb, 64)
 				require.NoError(t, err)
+				if name == "alarm" {
+					p.until(line, func() bool { return p.clock.RingsAt(p.clock.Now() + ms) })
+				}
 				p.sched.core.Books() // what was posted, and answered, before now has happened before now
 				p.clock.Advance(ms)
 				p.heartbeat()
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -114,6 +114,13 @@
 	return a
 }
 
+// RingsAt says whether an alarm is set for a time that is ahead.
+func (m *Manual) RingsAt(at float64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.alarms, func(a *manualAlarm) bool { return a.at == at })
+}
+
 type manualAlarm struct {
 	clock *Manual
 	at    float64
