Drop the watcher's own sign of readiness, which only a test still asked for

Readiness waits for a list that may be acted on since. The one script that used it waits for the second list and for readiness instead, which is stricter: an empty line was enough before.

--- a/cmd/cottonwell/exchange_test.go
+++ b/cmd/cottonwell/exchange_test.go
@@ -245,7 +245,7 @@
 //	alarm +MS                         the same, once the program has set an alarm for then
 //	hup ADDRESS                       SIGHUP, after the file names that discovery; 'bad' breaks the file
 //	wind now, wound now               SIGTERM; wait until connections are no longer kept
-//	ready yes, ready no, heard now    whether clients are let in; wait until they are, as discovery was heard
+//	ready yes, ready no, ready soon   whether clients are let in; wait until they are
 //	books NAME N                      wait until that count of the core is N
 func (p *program) play(script string) {
 	t := p.t
@@ -340,10 +340,11 @@
 						"waiting": p.sched.targets.Waiting(), "lists": b.Lists, "list_failures": b.ListFailures, "probes": b.Probes, "answers": b.ProbesEnded, "withheld": b.Withheld}[verb] == n
 				})
 			case "ready": // clients are let in, or not yet
+				if verb == "soon" {
+					p.until("ready", p.sched.listener.Ready)
+					break
+				}
 				require.Equal(t, verb == "yes", p.sched.listener.Ready())
-			case "heard": // until something has come of discovery
-				<-p.sched.watch.Heard()
-				p.until("ready", p.sched.listener.Ready)
 			case "hup": // the file is replaced by one that names this discovery; "bad" is none
 				data, err := os.ReadFile("testdata/config.json")
 				require.NoError(t, err)
--- a/internal/freshness/outage_test.go
+++ b/internal/freshness/outage_test.go
@@ -26,13 +26,13 @@
 // given up, too, and answers the whole fleet in answerAll, if all call in turn.
 type outage struct {
 	vtime.Queue
-	rng                 *rand.Rand
-	lasts, answerAll    float64
-	nodes               []*outageNode
-	waiting             []*call
-	busy                bool
-	returnsAt, endsAt   float64
-	answered, datagrams int
+	rng               *rand.Rand
+	lasts, answerAll  float64
+	nodes             []*outageNode
+	waiting           []*call
+	busy              bool
+	returnsAt, endsAt float64
+	datagrams         int
 }
 
 type outageNode struct {
@@ -153,7 +153,6 @@
 		o.busy = false
 		if !c.over {
 			c.over = true
-			o.answered++
 			o.open(c.node)
 		}
 		o.serve()
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -30,8 +30,6 @@
 type Watcher struct {
 	Config
 	asked chan struct{}
-	heard chan struct{} // closed at the first sign of life
-	first sync.Once
 
 	mu       sync.Mutex
 	moved    bool   // Address is new, and nobody has been asked there yet
@@ -90,12 +88,9 @@
 
 // New makes a watcher ready.
 func New(cfg Config) *Watcher {
-	return &Watcher{Config: cfg, asked: make(chan struct{}, 1), heard: make(chan struct{})}
+	return &Watcher{Config: cfg, asked: make(chan struct{}, 1)}
 }
 
-// Heard returns a channel that is closed once discovery has said anything on a watch.
-func (w *Watcher) Heard() <-chan struct{} { return w.heard }
-
 // Run holds the watches that are asked for, until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	var all sync.WaitGroup
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -96,7 +96,6 @@
 	}
 	listed := false // before the first list, a sign of life says nothing of what the list has missed
 	beat.beats = func() {
-		x.first.Do(func() { close(x.heard) })
 		if listed && x.SignOfLife != nil && x.isCurrent() {
 			x.SignOfLife(beat.readAt)
 		}
@@ -151,7 +150,6 @@
 	}
 	x.Log.Info("list", "index", l.Index, "whole", l.Snapshot, "targets", len(l.Endpoints))
 	x.Tell(g)
-	x.first.Do(func() { close(x.heard) })
 }
 
 // takesOver notes the version of a list, and says whether the watch is of the address that has a say. Once it is, nothing
