End the lease sooner without a watch where the settings give less time for asking

The lease is reviewed as the watch ends and lasts ask-within less 0.3 s until discovery is heard again. TestDrainRuleHolds plays the sentence with 3 s; its checker finds the old lease ('long leases without a watch'). TestLeaseEndsWithTheWatch: nothing more goes out as a silent watch ends.

--- a/cmd/cottonwell/leases.go
+++ b/cmd/cottonwell/leases.go
@@ -1,6 +1,9 @@
 package main
 
-import "cottonwell/internal/config"
+import (
+	"cottonwell/internal/clock"
+	"cottonwell/internal/config"
+)
 
 // Figures of the lease on discovery's list, in milliseconds.
 const (
@@ -10,6 +13,8 @@
 	leaseMargin = 300.0
 	// movedAfter is when what a pushing agent has counts after SIGHUP, whether or not it was read.
 	movedAfter = 4000.0
+	// shortestLease is what is left where the settings give less time than the margin.
+	shortestLease = 1.0
 )
 
 // listLease returns for how long a list is acted on after discovery's last word; 0: for ever, as there is no discovery. It
@@ -21,6 +26,16 @@
 	return toldAfter - leaseMargin
 }
 
+// unwatchedLease returns the same while no watch is open: a scheduler that neither watches nor asks counts as told after a time
+// that the settings give. Discovery that is asked has one; an agent that pushes has none.
+func unwatchedLease(cfg *config.Config) float64 {
+	within := clock.Millis(cfg.Settings.AskWithin)
+	if cfg.Discovery == "" || cfg.Pushed || within <= 0 || within >= toldAfter {
+		return listLease(cfg)
+	}
+	return max(shortestLease, within-leaseMargin)
+}
+
 // movedLease returns for how long the list of the address before is acted on after SIGHUP has moved discovery; 0: as long
 // as any list.
 func movedLease(cfg *config.Config) float64 {
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -192,7 +192,7 @@
 		}
 	}
 	c := core.Config{Tell: tell, Room: op.Plan(), Settings: cfg.Settings, Seed: cfg.Seed, Clock: clk, Log: log, Invariants: inv,
-		ComeBack: comeBack, Known: map[string]core.Group{"discovery": known}, ListLease: listLease(cfg), MovedLease: movedLease(cfg)}
+		ComeBack: comeBack, Known: map[string]core.Group{"discovery": known}, ListLease: listLease(cfg), UnwatchedLease: unwatchedLease(cfg), MovedLease: movedLease(cfg)}
 	if s.duties != nil && op.Fleet.Examiner != nil {
 		c.Doubt, c.Probed = s.duties.Doubt, s.duties.Probed
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,6 +40,8 @@
 	// ListLease is for how long, in ms, a list is acted on after the last word of its source; 0: for ever. It holds for
 	// the source that has a Watch.
 	ListLease float64
+	// UnwatchedLease is the same while no watch is open; 0: as long.
+	UnwatchedLease float64
 	// MovedLease is for how long, in ms, it is acted on after the source has moved, until it is heard anew; 0: no less
 	// long than without that.
 	MovedLease float64
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"errors"
 	"math"
 
@@ -47,7 +48,7 @@
 	}
 	now, settings := c.clock.Now(), &c.cfg.Settings
 	c.lapsedAt = now
-	if c.lease, err = freshness.NewLease(c.cfg.ListLease); err != nil {
+	if c.lease, err = freshness.NewLease(c.cfg.ListLease, cmp.Or(c.cfg.UnwatchedLease, c.cfg.ListLease)); err != nil {
 		return err
 	}
 	if c.cfg.Tell == nil || !settings.Peers || settings.Fleet < 2 {
@@ -109,8 +110,7 @@
 // listLost tells the lease that a call failed or a watch ended.
 func (c *Core) listLost(s *source) {
 	if c.lease != nil && s == c.leased {
-		c.lease.WatchLost()
-		c.leaseReviewed(s, false)
+		c.leaseReviewed(s, c.lease.WatchLost(c.clock.Now()))
 	}
 }
 
--- a/internal/core/leases_test.go
+++ b/internal/core/leases_test.go
@@ -175,7 +175,7 @@
 	b.take("x", "c")
 	b.pass(200)
 	require.Len(t, told, 1)
-	other, err := freshness.NewLease(listLasts)
+	other, err := freshness.NewLease(listLasts, listLasts)
 	require.NoError(t, err)
 	other.Listed(7000, 7000, []freshness.Target{{Name: "b"}})
 	peers, err := freshness.NewPeers(7000, freshness.PeersConfig{Self: 1, Fleet: 2, AskEvery: 1, AskMany: 1, Younger: 1}, other)
@@ -191,3 +191,23 @@
 	b.do(heard{1, answers[0].Raw[:9]})
 	require.Equal(t, 1, b.core.unreadable)
 }
+
+// Without a watch the list is acted on for a shorter time, where the settings say so: nothing more goes out as the watch ends
+// that had fallen silent before.
+func TestLeaseEndsWithTheWatch(t *testing.T) {
+	b := leased(t, 1)
+	b.core.cfg.UnwatchedLease, b.core.fresh = 2700, make(chan struct{})
+	require.NoError(t, b.core.startLease())
+	b.core.leaseReviewed(b.core.leased, b.core.listHeard(b.core.leased, &Group{Scope: balance.FromDisk}))
+	b.hear()
+	b.pass(2800)
+	b.take("x", "c")
+	require.Len(t, b.started, 1)
+	b.serve("x")
+	b.lose()
+	require.Equal(t, 1, b.core.withholds())
+	b.take("y", "c")
+	require.Len(t, b.started, 1, "it waits")
+	b.hear()
+	require.Len(t, b.started, 2)
+}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -44,7 +44,8 @@
 // Lease is the lease on the list of one discovery source. It begins as run out: however a list was come by, discovery
 // has not said yet that it holds.
 type Lease struct {
-	lasts    float64
+	watched  float64 // how long a renewal lasts while a watch is open, in ms
+	apart    float64 // and while none is
 	wordAt   float64 // the youngest word that names the whole list
 	valid    bool    // as last reviewed
 	lapsed   bool    // nothing is confirmed, neither the list nor any target of it; as last reviewed
@@ -67,12 +68,13 @@
 
 var never = math.Inf(-1)
 
-// NewLease returns a lease on an empty list that has run out. Each renewal lasts so many milliseconds.
-func NewLease(lasts float64) (*Lease, error) {
-	if !(lasts > 0) || math.IsInf(lasts, 1) {
-		return nil, fmt.Errorf("freshness: a lease of %g ms", lasts)
+// NewLease returns a lease on an empty list that has run out. Each renewal lasts so many milliseconds while a watch is open,
+// and so many, no more, while none is.
+func NewLease(watched, apart float64) (*Lease, error) {
+	if !(apart > 0 && apart <= watched) || math.IsInf(watched, 1) {
+		return nil, fmt.Errorf("freshness: a lease of %g ms, and of %g ms without a watch", watched, apart)
 	}
-	return &Lease{lasts: lasts, wordAt: never, lapsed: true, digest: gossip.DigestOf(nil)}, nil
+	return &Lease{watched: watched, apart: apart, wordAt: never, lapsed: true, digest: gossip.DigestOf(nil)}, nil
 }
 
 // Load takes over a list that is no word of discovery: that of the start. Like all events it says whether a target is
@@ -118,15 +120,26 @@
 
 // EndBy has the lease end at a time at the latest, unless a younger word comes: what was told before counts no longer.
 func (l *Lease) EndBy(now, until float64) (changed bool) {
-	l.wordAt = min(l.wordAt, until-l.lasts)
+	l.wordAt = min(l.wordAt, until-l.watched)
 	for _, e := range l.targets {
-		e.confirmedAt = min(e.confirmedAt, until-l.lasts)
+		e.confirmedAt = min(e.confirmedAt, until-l.watched)
 	}
 	return l.Review(now)
 }
 
 // WatchLost tells that a call to discovery failed, or that the watch has ended.
-func (l *Lease) WatchLost() { l.watching = false }
+func (l *Lease) WatchLost(now float64) (changed bool) {
+	l.watching = false
+	return l.Review(now)
+}
+
+// lasts is for how long a word holds now.
+func (l *Lease) lasts() float64 {
+	if l.watching {
+		return l.watched
+	}
+	return l.apart
+}
 
 // Watching says whether a watch is open.
 func (l *Lease) Watching() bool { return l.watching }
@@ -193,7 +206,7 @@
 	l.lapsed = !l.valid
 	for _, e := range l.targets {
 		was := e.withheld
-		l.lapsed = l.lapsed && now >= e.confirmedAt+l.lasts
+		l.lapsed = l.lapsed && now >= e.confirmedAt+l.lasts()
 		e.withheld = now >= l.maySendUntil(e)
 		changed = changed || was != e.withheld
 	}
@@ -221,7 +234,7 @@
 func (l *Lease) Lapsed() bool { return l.lapsed }
 
 // Until is the end of the lease on the whole list.
-func (l *Lease) Until() float64 { return l.wordAt + l.lasts }
+func (l *Lease) Until() float64 { return l.wordAt + l.lasts() }
 
 // Age is how old the youngest word on the whole list is.
 func (l *Lease) Age(now float64) float64 { return now - l.wordAt }
@@ -239,7 +252,7 @@
 	if e.notReady || e.cut {
 		return never
 	}
-	return max(l.wordAt, e.confirmedAt) + l.lasts
+	return max(l.wordAt, e.confirmedAt) + l.lasts()
 }
 
 // Withheld says whether nothing may be sent to a target, as of the last review.
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -13,7 +13,7 @@
 const lasts = 5700.0
 
 func newLease(t require.TestingT) *Lease {
-	l, err := NewLease(lasts)
+	l, err := NewLease(lasts, lasts)
 	require.NoError(t, err)
 	l.Load(0, serving("a", "b"))
 	return l
@@ -28,9 +28,11 @@
 
 func TestImpossibleLeases(t *testing.T) {
 	for _, lasts := range []float64{0, -1, math.NaN(), math.Inf(1)} {
-		_, err := NewLease(lasts)
+		_, err := NewLease(lasts, lasts)
 		require.Error(t, err)
 	}
+	_, err := NewLease(1, 2)
+	require.Error(t, err, "longer without a watch than with one")
 }
 
 // A process that has just started has no word of discovery, whatever list it was given.
@@ -60,7 +62,7 @@
 	require.True(t, l.SignOfLife(9000, 8990))
 	require.False(t, l.Withheld("a"))
 	// A call that fails changes nothing.
-	l.WatchLost()
+	require.False(t, l.WatchLost(9000))
 	require.Equal(t, 8990+lasts, l.MaySendUntil("a"))
 }
 
@@ -83,7 +85,7 @@
 	l := newLease(t)
 	l.Listed(0, 0, serving("a", "b"))
 	require.False(t, l.Probed(1, "a", NotReady), "the list decides while the watch is open")
-	l.WatchLost()
+	l.WatchLost(1)
 	require.False(t, l.Probed(1, "b", Serving))
 	require.False(t, l.Probed(1, "b", Silent), "silence says nothing of a drain")
 	require.True(t, l.Probed(1, "a", NotReady))
@@ -106,6 +108,8 @@
 const (
 	countsAfter = 6000.0
 	grace       = 250.0
+	// askWithin is after which a change counts as told to a scheduler that has no watch.
+	askWithin = 3000.0
 )
 
 // Nothing is sent against the rule on drains, whatever discovery does: outages of any length, calls that are refused,
@@ -123,6 +127,7 @@
 // program is how a scheduler uses its lease.
 type program struct {
 	lasts   float64
+	apart   float64 // without a watch
 	maySend func(l *Lease, name string, now float64) bool
 	// probed and failed are told besides of a probe that was answered as serving, and of a call that failed.
 	probed, failed func(l *Lease, now float64)
@@ -132,7 +137,7 @@
 
 func rightProgram() program {
 	nothing := func(*Lease, float64) {}
-	return program{lasts: lasts, probed: nothing, failed: nothing, started: nothing,
+	return program{lasts: lasts, apart: askWithin - 300, probed: nothing, failed: nothing, started: nothing,
 		maySend: func(l *Lease, name string, now float64) bool { return now < l.MaySendUntil(name) }}
 }
 
@@ -146,10 +151,11 @@
 		"trusts an open watch": func(p *program) {
 			p.maySend = func(l *Lease, name string, now float64) bool { return l.watching || now < l.MaySendUntil(name) }
 		},
-		"long leases":  func(p *program) { p.lasts = countsAfter + 1500 },
-		"probes":       func(p *program) { p.probed = renews },
-		"failed calls": func(p *program) { p.failed = renews },
-		"first list":   func(p *program) { p.started = renews },
+		"long leases":                 func(p *program) { p.lasts = countsAfter + 1500 },
+		"long leases without a watch": func(p *program) { p.apart = lasts },
+		"probes":                      func(p *program) { p.probed = renews },
+		"failed calls":                func(p *program) { p.failed = renews },
+		"first list":                  func(p *program) { p.started = renews },
 	}
 	for name, change := range variants {
 		wrong, broken := rightProgram(), 0
@@ -231,6 +237,9 @@
 	if w.reached {
 		counts = max(left, w.upSince) + countsAfter
 	}
+	if w.reached && !w.watching {
+		counts = min(counts, max(left, w.upSince)+askWithin)
+	}
 	if at, told := w.toldAt[name]; told {
 		counts = min(counts, at)
 	}
@@ -242,7 +251,7 @@
 func playDrains(rng *rand.Rand, p program) (broken, idle int) {
 	const step = 25.0
 	w := newWorld(rng)
-	l, err := NewLease(p.lasts)
+	l, err := NewLease(p.lasts, p.apart)
 	if err != nil {
 		panic(err)
 	}
@@ -260,13 +269,13 @@
 			w.silent = w.silent || rng.IntN(2) == 0
 			if !w.silent || rng.Float64() < step/3500 {
 				w.watching, w.silent, callEnds = false, false, now+300+2500*rng.Float64()
-				l.WatchLost()
+				l.WatchLost(now)
 				p.failed(l, now)
 			}
 		case w.watching && w.silent:
 			if rng.Float64() < step/3500 {
 				w.watching, w.silent, callEnds = false, false, now+300+2500*rng.Float64()
-				l.WatchLost()
+				l.WatchLost(now)
 			}
 		case w.watching && w.untold(now):
 			w.tell(now)
@@ -281,7 +290,7 @@
 			l.Listed(now, now, w.listed(now))
 		case now >= callEnds:
 			callEnds = now + 2000 + 8000*rng.Float64()
-			l.WatchLost()
+			l.WatchLost(now)
 			p.failed(l, now)
 		}
 		name := w.names[rng.IntN(len(w.names))]
@@ -305,7 +314,7 @@
 				broken++
 			}
 		}
-		if !served && now < w.wordAt+p.lasts {
+		if !served && now < w.wordAt+l.lasts() {
 			idle++
 		}
 	}
--- a/internal/freshness/outage_test.go
+++ b/internal/freshness/outage_test.go
@@ -63,7 +63,7 @@
 			MaxAttempts: 3, ColdFrom: 0.2, ColdFor: time.Second, FallMultiple: 3, FallWindow: time.Second,
 			Classes: []balance.Class{{Name: "c", Aim: time.Second, Deadline: time.Second, Worth: 1}}}, seed<<16|uint64(i))
 		require.NoError(t, err)
-		n.lease, err = freshness.NewLease(leaseLasts)
+		n.lease, err = freshness.NewLease(leaseLasts, leaseLasts)
 		require.NoError(t, err)
 		if talk {
 			n.peers, err = freshness.NewPeers(0, freshness.PeersConfig{Self: i, Fleet: fleet, Seed: seed<<16 | uint64(i), AskEvery: 250, AskAt: 1000,
@@ -118,7 +118,7 @@
 
 func (o *outage) fail(n *outageNode) {
 	n.open = false
-	n.lease.WatchLost()
+	n.lease.WatchLost(o.Now)
 	o.step(n, balance.Event{Kind: balance.Listed, List: balance.AskFailed})
 	o.after(n)
 }
--- a/internal/freshness/peers_test.go
+++ b/internal/freshness/peers_test.go
@@ -233,7 +233,7 @@
 // start starts a scheduler, with the list of the beginning and a clock of its own.
 func (p *fleetPlay) start(n *node, now float64) {
 	n.offset = 1e6 + 20_000*p.rng.Float64()
-	n.lease, _ = NewLease(lasts)
+	n.lease, _ = NewLease(lasts, lasts)
 	n.lease.Load(now+n.offset, p.serving(0))
 	n.peers, _ = NewPeers(now+n.offset, peersConfig(n.self, len(p.nodes), p.rng.Uint64()), n.lease)
 	n.open, n.listed, n.wakesAt, n.stopsFor = false, 0, now, 0
@@ -283,7 +283,7 @@
 	switch {
 	case n.open && (down || p.rng.Float64() < playStep/3000):
 		n.open = false
-		n.lease.WatchLost()
+		n.lease.WatchLost(now)
 	case n.open && gone > n.listed, !n.open && !down && p.rng.Float64() < playStep/6000:
 		n.open, n.listed, n.signAt = true, max(n.listed, gone), now
 		n.lease.Listed(own, own, p.serving(n.listed))
