Show on real processes the list acted on too long where less time is given for asking

A scenario more of TestRemovedTargetIsSentTo: the settings give 2 s, all watches end, half the targets leave the list, and a large fleet opens its watches anew over some seconds.

--- a/cmd/cottonwell/removed_target_test.go
+++ b/cmd/cottonwell/removed_target_test.go
@@ -62,11 +62,12 @@
 	removed   map[string]time.Time            // targets that have left the list, and when
 	told      map[string]map[string]time.Time // by scheduler and removed target: when it was written
 	endpoints []testEndpoint
-	answers   string // the one scheduler that is answered, if not all are
+	answers   string        // the one scheduler that is answered, if not all are
+	toldAfter time.Duration // when a change counts as told that was not written
 }
 
 func newTestDiscovery() *testDiscovery {
-	return &testDiscovery{index: 41, changed: make(chan struct{}), removed: map[string]time.Time{}, told: map[string]map[string]time.Time{}}
+	return &testDiscovery{index: 41, changed: make(chan struct{}), toldAfter: countsAsToldAfter, removed: map[string]time.Time{}, told: map[string]map[string]time.Time{}}
 }
 
 func (d *testDiscovery) wake() {
@@ -130,7 +131,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	removed, forbidden := d.removed[target]
-	since = removed.Add(countsAsToldAfter)
+	since = removed.Add(d.toldAfter)
 	if told, was := d.told[scheduler][target]; was && told.Before(since) {
 		since = told
 	}
@@ -361,6 +362,7 @@
 		"discovery turns calls away after an outage": func(p *drainPlay) { p.turnsCallsAway(withProbes) },
 		"the same where probes are not allowed":      func(p *drainPlay) { p.turnsCallsAway(`"probes":false`) },
 		"the watch moved to a silent address":        (*drainPlay).watchMoves,
+		"the settings give less time for asking":     (*drainPlay).watchesEnd,
 		"a new process has an old list":              (*drainPlay).newProcess,
 		"a process stands still":                     (*drainPlay).standsStill,
 		"watches fall silent":                        func(p *drainPlay) { p.watchesFallSilent(asked) },
@@ -475,6 +477,21 @@
 	time.Sleep(time.Second)
 }
 
+// watchesEnd has all watches end at once where a scheduler that neither watches nor asks counts as told after 2 s. In so large a fleet
+// they are opened anew over several seconds.
+func (p *drainPlay) watchesEnd() {
+	p.discovery.toldAfter = 2 * time.Second
+	for i := range 4 {
+		p.start(i, 60, p.discoveryOf(i), [2]string{`"ask-within-us":10000000`, `"ask-within-us":2000000`}, [2]string{"8c1f30d27a5be964", strconv.Itoa(i)})
+	}
+	p.servesOn("it has started")
+	p.discovery.become(down)
+	time.Sleep(20 * time.Millisecond)
+	p.discovery.become(answering)
+	p.removeHalf()
+	time.Sleep(countsAsToldAfter)
+}
+
 // asked is how the tests' configuration says that discovery is asked for the list, as a change that changes nothing.
 var asked = [2]string{`"subscribe"`, `"subscribe"`}
 
