Back off from a cold target after a freed slot, each scheduler for a random time

A test of the module: of 30 dispatchers that all wait, 30 sent within a word's time before, fewer than seven now, and half of them or more within a second.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -114,9 +114,10 @@
 	endedAt, tokensAt        time.Duration // when an attempt last ended; when tokens were last reckoned
 	ran, expected            float64       // seconds: running seen, and expected of an average worker
 	ejectedTo, fullTo        time.Duration
-	tokens                   float64 // seconds of work that may be sent while cold
-	offset                   uint32  // hash of the id
-	keep                     *Keep   // room held there, if any
+	backOffTo                time.Duration // while it is cold
+	tokens                   float64       // seconds of work that may be sent while cold
+	offset                   uint32        // hash of the id
+	keep                     *Keep         // room held there, if any
 }
 
 // Balancer decides for one dispatcher.
--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -175,3 +175,56 @@
 		t.Fatalf("a cold worker's allowance: %g, and half of it %g, and none %g", all, half, burst(0))
 	}
 }
+
+// Failure: all dispatchers that waited for a cold worker sent there in the moment in which they heard of a free slot,
+// before they could hear of one another, and the worker fell.
+func TestDispatchersTakeAFreedSlotOfAColdWorkerOneByOne(t *testing.T) {
+	const many, wordTakes = 30, 15 * ms
+	cold := fleet(1)
+	cold[0].Started = time.Hour
+	all := make([]*bench, many)
+	for i := range all {
+		s := base()
+		s.Fleet, s.Self, s.Peers = many, i, true
+		b, err := New(s, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[i] = &bench{t: t, b: b, now: time.Hour}
+		all[i].step(Event{Kind: Listed, List: FromDisk, Members: cold})
+		all[i].now += 2 * time.Second
+		all[i].step(Event{Kind: PeerSpoke, Who: (i + 1) % many, Loads: map[string]float64{"w00": 2}})
+		all[i].now += 2 * time.Second // the allowance is full again
+		if _, acts := all[i].request(); find(acts, Send) != nil {
+			t.Fatal("sent to a worker that is told to be full")
+		}
+	}
+	var sends []time.Duration
+	freedAt := all[0].now
+	for now := freedAt; now < freedAt+time.Second; now += ms {
+		for i, h := range all {
+			h.now = now
+			ev := Event{Kind: TimerDue, Timer: tickTimer}
+			if now == freedAt {
+				ev = Event{Kind: PeerSpoke, Who: (i + 1) % many}
+			}
+			if find(h.step(ev), Send) != nil {
+				sends = append(sends, now)
+			}
+		}
+	}
+	if len(sends) < many/2 {
+		t.Errorf("%d of %d dispatchers sent within a second, though none heard of another", len(sends), many)
+	}
+	together := 0
+	for i, from := range sends {
+		n := 0
+		for n < len(sends)-i && sends[i+n] < from+wordTakes {
+			n++
+		}
+		together = max(together, n)
+	}
+	if together >= 7 { // a worker that is allowed one falls at 1 + 3 x root of 1 + 3
+		t.Errorf("%d dispatchers sent within the time of a word", together)
+	}
+}
--- a/balance/load.go
+++ b/balance/load.go
@@ -38,6 +38,9 @@
 	less = slots < had[id]
 	if w := b.workers[id]; w != nil && had[id] != slots {
 		w.told += slots - had[id]
+		if less {
+			b.backOff(now, w)
+		}
 		if more := slots - had[id]; more > 0 && b.warmth(now, w) < 1 {
 			b.refill(now, w)
 			w.tokens -= more * b.runMean
