--- a/cmd/cottonwell/control_test.go
+++ b/cmd/cottonwell/control_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,16 +24,25 @@
 
 // startControlled starts one scheduler with a control address.
 func startControlled(t *testing.T) (p *drainPlay, control string) {
-	p = newDrainPlay(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	control = ln.Addr().String()
-	require.NoError(t, ln.Close())
-	p.start(0, 1, p.discoveryOf(0), [2]string{`"listen":`, `"control":"` + control + `","listen":`})
+	p, control = newDrainPlay(t), freeAddress(t)
+	p.start(0, 1, p.discoveryOf(0), controlled(control, freeAddress(t)))
 	p.servesOn("it has started")
 	return p, control
 }
 
+// freeAddress is one on loopback at which nobody listens.
+func freeAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// controlled is the change to the tests' configuration that gives it a control address and one for clients.
+func controlled(control, clients string) [2]string {
+	return [2]string{`"listen":"127.0.0.1:0"`, `"control":"` + control + `","listen":"` + clients + `"`}
+}
+
 // callControl makes an operator's call and says whether the answer was yes.
 func callControl(t *testing.T, method, control, path string) bool {
 	t.Helper()
@@ -116,3 +126,41 @@
 	require.Less(t, time.Since(back), backAfter)
 	p.servesOn("it is back in service")
 }
+
+// Failure (the days of daily operation, on a program without handover): a new version could not start beside the old one, and
+// jobs were lost. Two processes work side by side, then the old one ends: each job is answered as before, news of it finds its
+// process, and a target under maintenance stays so.
+func TestUpgradeUnderLoadLosesJobs(t *testing.T) {
+	t.Parallel()
+	p := newDrainPlay(t)
+	clients, first, second := freeAddress(t), freeAddress(t), freeAddress(t)
+	discovery := p.discoveryOf(0)
+	p.start(0, 1, discovery, controlled(first, clients))
+	p.servesOn("the old process")
+	require.True(t, callControl(t, "POST", first, "shop-workers/s-3/offline"))
+	offline := time.Now()
+	old := p.schedulers["n0"]
+
+	p.start(0, 1, discovery, controlled(second, clients))
+	require.Eventually(t, func() bool { return callControl(t, "GET", second, "ready") }, 6*time.Second, 20*time.Millisecond)
+	p.servesOn("both processes")
+	time.Sleep(time.Second)
+	require.NoError(t, old.Process.Signal(syscall.SIGTERM))
+	ended := make(chan error, 1)
+	go func() { _, err := old.Process.Wait(); ended <- err }()
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(3700 * time.Millisecond): // when the platform kills it
+		require.Fail(t, "the old process does not end")
+	}
+	p.servesOn("the new process alone")
+	time.Sleep(time.Second)
+	require.True(t, callControl(t, "POST", second, "shop-workers/s-3/offline"))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.sends {
+		require.False(t, s.target == "s-3" && s.at.After(offline.Add(drainGrace+socketSlack)), "sent to under maintenance: %+v", s)
+	}
+	require.LessOrEqual(t, p.failed.Load(), int64(2), "jobs that were not answered as served")
+}
--- a/cmd/cottonwell/removed_target_test.go
+++ b/cmd/cottonwell/removed_target_test.go
@@ -188,6 +188,7 @@
 	targets     []string
 	schedulers  map[string]*exec.Cmd
 	configFiles map[string]string
+	directory   string // that all processes of a scheduler share
 	firstConfig []byte // of the first scheduler, before its discovery was moved
 
 	mu     sync.Mutex
@@ -195,6 +196,7 @@
 	late   []string                 // sends against the rule
 	sends  []testSend               // all of them, in the order in which they came
 	served map[string]*atomic.Int64 // by scheduler
+	failed atomic.Int64             // requests that were not served
 	callUp *http.Client
 }
 
@@ -215,7 +217,7 @@
 }
 
 func newDrainPlay(t *testing.T) *drainPlay {
-	p := &drainPlay{t: t, discovery: newTestDiscovery(), schedulers: map[string]*exec.Cmd{}, configFiles: map[string]string{},
+	p := &drainPlay{t: t, directory: t.TempDir(), discovery: newTestDiscovery(), schedulers: map[string]*exec.Cmd{}, configFiles: map[string]string{},
 		listen: map[string]string{}, served: map[string]*atomic.Int64{}, callUp: &http.Client{Timeout: time.Second}}
 	for i := range 6 {
 		name := fmt.Sprintf("s-%d", i)
@@ -271,7 +273,7 @@
 	file := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(file, text, 0o600))
 	cmd := exec.Command(os.Args[0], "serve", "--config", file)
-	cmd.Env = append(os.Environ(), asProgram+"=1")
+	cmd.Env = append(os.Environ(), asProgram+"=1", "TMPDIR="+p.directory)
 	stderr, err := cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, cmd.Start())
@@ -326,8 +328,12 @@
 		if resp, err := c.Do(r); err == nil {
 			if resp.StatusCode == http.StatusOK {
 				served.Add(1)
+			} else {
+				p.failed.Add(1)
 			}
 			resp.Body.Close()
+		} else if ctx.Err() == nil {
+			p.failed.Add(1)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -23,9 +23,11 @@
 	"cottonwell/internal/net/control"
 	"cottonwell/internal/net/discovery"
 	"cottonwell/internal/net/duties"
+	"cottonwell/internal/net/handover"
 	"cottonwell/internal/net/httpio"
 	"cottonwell/internal/net/listener"
 	"cottonwell/internal/net/peers"
+	"cottonwell/internal/net/shared"
 	"cottonwell/internal/net/target"
 )
 
@@ -63,26 +65,32 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
+	var at listeners
+	if cfg.Control != "" {
+		if at.operators, err = net.Listen("tcp", cfg.Control); err != nil {
+			return fmt.Errorf("listen for operators: %w", err)
+		}
+		if s.handover, err = handover.Open(os.TempDir(), cfg.Name, sibling{s}, log); err != nil {
+			log.Warn("no other process of this scheduler can take over", "cause", err)
+		}
+	}
+	open := func() (net.Listener, error) { return listenForClients(cfg) }
+	if s.handover != nil && s.handover.OtherReady() {
+		at.later = open // clients are the other's until this one has a list
+	} else if at.clients, err = open(); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	var gln net.Listener
 	if op != nil && op.Gearman != nil {
-		if gln, err = net.Listen("tcp", op.Gearman.Listen); err != nil {
-			ln.Close()
+		if at.gearman, err = net.Listen("tcp", op.Gearman.Listen); err != nil {
 			return fmt.Errorf("listen for gearman: %w", err)
 		}
-		log.Info("gearman front is on", "listen", gln.Addr(), "functions", len(op.Gearman.Functions), "workers", len(op.Gearman.Workers))
+		log.Info("gearman front is on", "listen", at.gearman.Addr(), "functions", len(op.Gearman.Functions), "workers", len(op.Gearman.Workers))
 	}
-	var operators net.Listener
-	if cfg.Control != "" {
-		if operators, err = net.Listen("tcp", cfg.Control); err != nil {
-			ln.Close()
-			return fmt.Errorf("listen for operators: %w", err)
-		}
+	listens := cfg.Listen
+	if at.clients != nil {
+		listens = at.clients.Addr().String()
 	}
-	log.Info("start", "listen", ln.Addr(), "control", cfg.Control, "discovery", cfg.Discovery, "targets", len(cfg.Known.Endpoints), "memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets)
+	log.Info("start", "listen", listens, "takes_over", at.later != nil, "control", cfg.Control, "discovery", cfg.Discovery, "targets", len(cfg.Known.Endpoints), "memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets)
 	re := &reload{path: o.config, hup: hup, watch: s.watch, log: log}
 	if s.duties != nil {
 		re.show = s.duties.Show
@@ -96,7 +104,7 @@
 			}
 		}
 	}
-	s.run(ctx, re, listeners{clients: ln, gearman: gln, operators: operators})
+	s.run(ctx, re, at)
 	log.Info("stop")
 	return nil
 }
@@ -113,6 +121,7 @@
 	gearman  *gearman.Server // nil while that front is off
 	peers    *peers.Link     // nil where schedulers may not speak to one another
 	duties   *duties.Host    // nil while that is off
+	handover *handover.Link  // nil where no other process can take over
 	killAt   float64         // milliseconds from SIGTERM to SIGKILL, at least
 }
 
@@ -176,7 +185,7 @@
 	}
 	var tell func([]int, string)
 	if cfg.Settings.Peers {
-		if s.peers, err = peers.Open(peers.Config{Listen: cfg.PeerListen, Peers: cfg.Peers, All: cfg.PeersAll}, log); err != nil {
+		if s.peers, err = peers.Open(peers.Config{Listen: cfg.PeerListen, Peers: cfg.Peers, All: cfg.PeersAll, Shared: cfg.Control != ""}, log); err != nil {
 			return nil, err
 		}
 		if s.peers != nil {
@@ -201,6 +210,9 @@
 	}
 	c := core.Config{Tell: tell, Room: op.Plan(), Settings: cfg.Settings, Seed: cfg.Seed, Clock: clk, Log: log, Invariants: inv,
 		ComeBack: comeBack, Known: map[string]core.Group{"discovery": known}, ListLease: listLease(cfg), UnwatchedLease: unwatchedLease(cfg), MovedLease: movedLease(cfg)}
+	if cfg.Control != "" {
+		c.Stray = s.stray
+	}
 	if s.duties != nil && op.Fleet.Examiner != nil {
 		c.Doubt, c.Probed = s.duties.Doubt, s.duties.Probed
 	}
@@ -231,7 +243,11 @@
 }
 
 // listeners are where the scheduler is called. Those for Gearman and for operators may be nil.
-type listeners struct{ clients, gearman, operators net.Listener }
+type listeners struct {
+	clients, gearman, operators net.Listener
+	// later opens that for clients once there is a list that may be acted on; nil: it is open.
+	later func() (net.Listener, error)
+}
 
 // run serves until ctx ends, then goes on until all that was taken is answered.
 func (s *scheduler) run(ctx context.Context, re *reload, at listeners) {
@@ -258,11 +274,14 @@
 		all.Go(func() { s.peers.Run(inner, hear) })
 	}
 	all.Go(func() { s.stats(inner) })
-	all.Go(func() {
+	serveClients := func() {
 		if err := s.listener.Serve(inner, at.clients); err != nil {
 			s.log.Error("listener ended", "cause", err)
 		}
-	})
+	}
+	if at.clients != nil {
+		all.Go(serveClients)
+	}
 	if at.operators != nil {
 		all.Go(func() {
 			if err := control.New(operated{s}, s.log).Serve(inner, at.operators); err != nil {
@@ -277,14 +296,36 @@
 			}
 		})
 	}
+	if s.handover != nil {
+		all.Go(func() {
+			if err := s.handover.Serve(inner); err != nil {
+				s.log.Error("handover ended", "cause", err)
+			}
+		})
+		s.inherit()
+	}
 	select { // before that nothing can be served
 	case <-s.core.Fresh():
 	case <-tooLong.C():
 	case <-ctx.Done():
 	}
+	if at.clients == nil && ctx.Err() == nil {
+		var err error
+		if at.clients, err = at.later(); err != nil {
+			s.log.Error("listen", "cause", err)
+			return
+		}
+		all.Go(serveClients)
+	}
 	s.listener.SetReady(ctx.Err() == nil)
 	<-ctx.Done()
-	s.log.Info("winding down")
+	succeeded := at.clients != nil && s.handover != nil && s.handover.OtherReady()
+	s.log.Info("winding down", "successor", succeeded)
+	if succeeded {
+		if err := shared.Stop(at.clients); err != nil {
+			s.log.Warn("cannot stop listening", "cause", err)
+		}
+	}
 	s.listener.SetReady(false)
 	if s.duties != nil {
 		s.duties.Resign(inner) // others have them while this one still serves
@@ -292,7 +333,9 @@
 	// Clients use the connections that they have for as long as these stay open, and have no
 	// other scheduler, so they are served for as long as the platform allows.
 	begin := s.clock.Now()
-	s.sleep(max(graceFor, s.killAt-windFor))
+	if !succeeded {
+		s.sleep(max(graceFor, s.killAt-windFor))
+	}
 	s.listener.Wind()
 	if s.gearman != nil {
 		s.gearman.Wind() // or clients that stay on their connections would keep the program from its end
@@ -352,10 +395,14 @@
 		if s.peers != nil {
 			told, heard = s.peers.Sent.Load(), s.peers.Heard.Load()
 		}
+		var handedOver, dropped int64
+		if s.handover != nil {
+			handedOver, dropped = s.handover.Counts.PassedOn.Load(), s.handover.Counts.Dropped.Load()
+		}
 		b, n, l := s.core.Books(), &s.targets.Counts, &s.listener.Counts
 		s.log.Info("books", "open", b.Open, "taken", b.Taken, "served", b.Served, "refused", b.Refused, "failed", b.Failed,
 			"left", b.Left, "sends", b.Sends, "cancels", b.Cancels, "probes", b.Probes, "withheld", b.Withheld, "lists", b.Lists, "lapses", b.Lapses, "lapsed_ms", b.LapsedFor, "refused_lapsed", b.RefusedLapsed, "words_told", b.WordsTold, "words_passed_on", b.WordsPassedOn, "list_failures", b.ListFailures, "outcomes", b.Outcomes, "dropped", b.Dropped,
 			"refused_by", b.Reasons.Refused, "failed_by", b.Reasons.Failed, "given_up_by", b.Reasons.GivenUp, "not_begun_by", b.Reasons.NotBegun, "retries_after", b.Reasons.Retries,
-			"dialled", n.Dialled.Load(), "reused", n.Reused.Load(), "retired", n.Retired.Load(), "unheard", n.Unheard.Load(), "told", told, "heard", heard, "rejected", l.Rejected.Load(), "evicted", l.Evicted.Load(), "spared", l.Spared.Load(), "turned_off", l.TurnedOff.Load(), "closed_to_targets", n.Closes.Counts(), "closed_to_clients", l.Closes.Counts(), "unreadable_datagrams", b.Unreadable, "room", b.Room, "invariants", s.inv.Counts())
+			"dialled", n.Dialled.Load(), "reused", n.Reused.Load(), "retired", n.Retired.Load(), "unheard", n.Unheard.Load(), "told", told, "heard", heard, "rejected", l.Rejected.Load(), "evicted", l.Evicted.Load(), "spared", l.Spared.Load(), "turned_off", l.TurnedOff.Load(), "closed_to_targets", n.Closes.Counts(), "closed_to_clients", l.Closes.Counts(), "unreadable_datagrams", b.Unreadable, "handed_over", handedOver, "handover_dropped", dropped, "room", b.Room, "invariants", s.inv.Counts())
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,9 @@
 	// MovedLease is for how long, in ms, it is acted on after the source has moved, until it is heard anew; 0: no less
 	// long than without that.
 	MovedLease float64
+	// Stray takes news of a job that is unknown here, for another process of this scheduler; nil where there can be none.
+	// It may not wait.
+	Stray func(TargetNews)
 	// Known is the list as it was held last, by source; the module learns it first.
 	Known map[string]Group
 }
--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -1,36 +1,63 @@
 package core
 
 import (
+	"maps"
+	"slices"
+
 	"cottonwell/balance"
 )
 
 // Offline has nothing more sent to a target, whatever its source lists, until Online. It says whether there is a target of
 // that name. Once it has returned no attempt leaves for it any more.
-func (c *Core) Offline(target string) bool { return c.maintain(target, true) }
+func (c *Core) Offline(target string) bool {
+	return c.maintain(maintained{target: target, offline: true})
+}
 
 // Online ends what Offline began. It says whether there is a target of that name, listed or offline.
-func (c *Core) Online(target string) bool { return c.maintain(target, false) }
+func (c *Core) Online(target string) bool { return c.maintain(maintained{target: target}) }
+
+// Inherit is Offline by the word of another process of this scheduler, which had that target listed.
+func (c *Core) Inherit(target string) {
+	c.maintain(maintained{target: target, offline: true, inherited: true})
+}
 
-func (c *Core) maintain(target string, offline bool) bool {
-	known := make(chan bool, 1)
-	c.post(maintained{target, offline, known})
+func (c *Core) maintain(e maintained) bool {
+	e.known = make(chan bool, 1)
+	c.post(e)
 	select {
-	case k := <-known:
-		return k
+	case known := <-e.known:
+		return known
 	case <-c.done:
 		return false
 	}
 }
 
+// Maintained returns the targets that are offline.
+func (c *Core) Maintained() []string {
+	targets := make(chan []string, 1)
+	c.post(readMaintained{targets})
+	select {
+	case t := <-targets:
+		return t
+	case <-c.done:
+		return nil
+	}
+}
+
+type readMaintained struct{ targets chan []string }
+
+func (e readMaintained) apply(c *Core) { e.targets <- slices.Sorted(maps.Keys(c.offline)) }
+
 type maintained struct {
-	target  string
-	offline bool
-	known   chan bool
+	target    string
+	offline   bool
+	inherited bool // it need not be known here
+	known     chan bool
 }
 
 func (e maintained) apply(c *Core) {
 	s, was := c.targets[e.target], c.offline[e.target]
-	known := s != nil || was
+	known := s != nil || was || e.inherited
 	if known && was != e.offline {
 		if e.offline {
 			c.offline[e.target] = true
--- a/internal/core/maintenance_test.go
+++ b/internal/core/maintenance_test.go
@@ -11,7 +11,7 @@
 
 func (b *bench) maintain(target string, offline bool) bool {
 	known := make(chan bool, 1)
-	b.do(maintained{target, offline, known})
+	b.do(maintained{target: target, offline: offline, known: known})
 	return <-known
 }
 
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -26,6 +26,10 @@
 
 func (e news) apply(c *Core) {
 	f := c.byID[e.n.ID]
+	if f == nil && c.cfg.Stray != nil && !e.n.PassedOn {
+		c.cfg.Stray(e.n)
+		return
+	}
 	if f == nil || f.out < 0 || f.attempts[f.out].target != e.n.From {
 		c.drop("news of an attempt that is over")
 		return
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -141,6 +141,7 @@
 	Result   balance.Result // if Progress is nil: how the attempt ended
 	Report   balance.Report
 	Body     string
+	PassedOn bool // by another process of this scheduler, to which it came
 }
 
 // ProbeResult is how a probe ended.
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -91,7 +92,8 @@
 // also how many wait for a first request.
 func (l *Listener) Busy() int { return l.slots.busy() }
 
-// Serve accepts connections until ctx ends, then closes what is left.
+// Serve accepts connections until ctx ends, then closes what is left. Once Accept has failed by a deadline, it accepts none
+// any more.
 func (l *Listener) Serve(ctx context.Context, ln net.Listener) error {
 	var all sync.WaitGroup
 	defer all.Wait()
@@ -103,6 +105,10 @@
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) { // nothing more is to be accepted; what was goes on
+				ln.Close()
+				<-ctx.Done()
+			}
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
--- a/internal/net/peers/peers.go
+++ b/internal/net/peers/peers.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/netip"
 	"sync/atomic"
+
+	"cottonwell/internal/net/shared"
 )
 
 // MaxSize is the longest datagram that the platform allows.
@@ -20,6 +22,7 @@
 	Listen string   // where datagrams arrive; they are sent from there, too
 	Peers  []string // an address per scheduler, this one included, in the order of their numbers
 	All    string   // the address that reaches every one of them
+	Shared bool     // another process of this scheduler may listen there, too
 }
 
 // Link sends to the other schedulers and hears them.
@@ -55,7 +58,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	if l.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)); err != nil {
+	if cfg.Shared {
+		l.conn, err = shared.ListenPacket(cfg.Listen)
+	} else {
+		l.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	}
+	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
 	return l, nil
