--- a/internal/core/maintenance_test.go
+++ b/internal/core/maintenance_test.go
@@ -67,3 +67,39 @@
 	b.pass(20)
 	require.Len(t, b.started, 1)
 }
+
+// News of a job that is unknown here goes to whoever knows the scheduler's other process, once: what that one passed on does
+// not go back. News of a job that is known here goes nowhere.
+func TestNewsOfUnknownJobsIsPassedOnOnce(t *testing.T) {
+	b := newBench(t, 1)
+	var stray []TargetNews
+	b.core.cfg.Stray = func(n TargetNews) { stray = append(stray, n) }
+	unknown := TargetNews{ID: "other's", From: "a", Result: balance.OK}
+	b.do(news{unknown})
+	passedOn := unknown
+	passedOn.PassedOn = true
+	b.do(news{passedOn})
+	b.take("x", "c")
+	b.do(news{TargetNews{ID: "x", From: "a", Result: balance.OK}})
+	require.Equal(t, []TargetNews{unknown}, stray)
+	require.Len(t, b.answers, 1)
+	require.Equal(t, map[string]int{"news of an attempt that is over": 1}, b.core.books.Dropped)
+}
+
+// What another process had offline is taken over, listed here or not.
+func TestMaintenanceIsInherited(t *testing.T) {
+	b := newBench(t, 1)
+	for _, target := range []string{"a", "z"} {
+		e := maintained{target: target, offline: true, inherited: true, known: make(chan bool, 1)}
+		b.do(e)
+		require.True(t, <-e.known)
+	}
+	b.take("x", "c")
+	require.Empty(t, b.started)
+	targets := make(chan []string, 1)
+	b.do(readMaintained{targets})
+	require.Equal(t, []string{"a", "z"}, <-targets)
+	require.True(t, b.maintain("a", false))
+	b.pass(20)
+	require.Len(t, b.started, 1)
+}
