--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -70,7 +70,7 @@
 		if at.operators, err = net.Listen("tcp", cfg.Control); err != nil {
 			return fmt.Errorf("listen for operators: %w", err)
 		}
-		if s.handover, err = handover.Open(os.TempDir(), cfg.Name, sibling{s}, log); err != nil {
+		if s.handover, err = handover.Open(os.TempDir(), cfg.Name, cfg.Listen, sibling{s}, log); err != nil {
 			log.Warn("no other process of this scheduler can take over", "cause", err)
 		}
 	}
--- a/internal/net/handover/handover.go
+++ b/internal/net/handover/handover.go
@@ -26,7 +26,8 @@
 	wordWithin = 300 * time.Millisecond // for a word to another process and its answer
 	wordsMost  = 64                     // under way at once; further ones are dropped
 	bodyMost   = 1 << 20                // bytes
-	pathMost   = 100                    // bytes that the system allows for a socket's path, less a few
+	ownerOnly  = 0o600
+	pathMost   = 100 // bytes that the system allows for a socket's path, less a few
 )
 
 // Process is what the other process's words act on.
@@ -59,10 +60,11 @@
 	Offline bool   `json:"offline"`
 }
 
-// Open listens at a socket of this process in a directory. The name is the scheduler's.
-func Open(dir, name string, p Process, log *slog.Logger) (*Link, error) {
+// Open listens at a socket of this process in a directory. The scheduler is named by its clients' address, too: others of the
+// same name may use the same directory.
+func Open(dir, name, listen string, p Process, log *slog.Logger) (*Link, error) {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
+	_, _ = h.Write([]byte(name + "@" + listen))
 	prefix := filepath.Join(dir, fmt.Sprintf("cottonwell-%x", h.Sum64()))
 	l := &Link{process: p, log: log, pattern: prefix + "-*.sock", words: make(chan struct{}, wordsMost),
 		path: fmt.Sprintf("%s-%d.sock", prefix, os.Getpid())}
@@ -76,6 +78,10 @@
 	if l.ln, err = net.Listen("unix", l.path); err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
+	if err := os.Chmod(l.path, ownerOnly); err != nil {
+		l.ln.Close()
+		return nil, fmt.Errorf("handover: %w", err)
+	}
 	return l, nil
 }
 
--- a/internal/net/handover/handover_test.go
+++ b/internal/net/handover/handover_test.go
@@ -57,9 +57,9 @@
 }
 
 // open opens a link as if by a process of this number.
-func open(t *testing.T, dir, name, number string) (*Link, *process) {
+func open(t *testing.T, dir, name, listen, number string) (*Link, *process) {
 	p := &process{maintained: map[string]bool{}}
-	l, err := Open(dir, name, p, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l, err := Open(dir, name, listen, p, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
 	own := strings.TrimSuffix(l.path, filepath.Ext(l.path)) + number + ".sock" // all are this process
 	require.NoError(t, os.Rename(l.path, own))
@@ -73,7 +73,7 @@
 
 func TestWordsReachTheOtherProcess(t *testing.T) {
 	dir := t.TempDir()
-	first, old := open(t, dir, "n0", "1")
+	first, old := open(t, dir, "n0", ":1", "1")
 	require.False(t, first.OtherReady())
 	require.Empty(t, first.Inherited())
 	first.PassOn(core.TargetNews{ID: "nobody's"}) // goes nowhere
@@ -81,8 +81,9 @@
 	old.Maintain("s-2", false)
 	old.ready = true
 
-	second, young := open(t, dir, "n0", "2")
-	_, stranger := open(t, dir, "n1", "3")
+	second, young := open(t, dir, "n0", ":1", "2")
+	_, stranger := open(t, dir, "n1", ":1", "3")
+	_, namesake := open(t, dir, "n0", ":2", "4")
 	require.True(t, second.OtherReady())
 	require.False(t, first.OtherReady())
 	require.Equal(t, []string{"s-1"}, second.Inherited())
@@ -98,6 +99,7 @@
 	require.Equal(t, []core.TargetNews{news}, old.news)
 	require.Empty(t, young.news)
 	require.Empty(t, stranger.news, "another scheduler's")
+	require.Empty(t, namesake.news, "another one's of that name")
 	require.Eventually(t, func() bool { return second.Counts.PassedOn.Load() == 2 }, wait, time.Millisecond)
 }
 
@@ -105,7 +107,7 @@
 // beyond the bound is dropped.
 func TestOtherProcessThatIsDeadOrHangs(t *testing.T) {
 	dir := t.TempDir()
-	l, _ := open(t, dir, "n0", "1")
+	l, _ := open(t, dir, "n0", ":1", "1")
 	dead := strings.Replace(l.path, "1.sock", "2.sock", 1)
 	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: dead, Net: "unix"})
 	require.NoError(t, err)
@@ -128,6 +130,6 @@
 }
 
 func TestPathsThatAreTooLong(t *testing.T) {
-	_, err := Open(filepath.Join(t.TempDir(), strings.Repeat("x", pathMost)), "n0", &process{}, slog.Default())
+	_, err := Open(filepath.Join(t.TempDir(), strings.Repeat("x", pathMost)), "n0", ":1", &process{}, slog.Default())
 	require.Error(t, err)
 }
