--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -27,7 +27,6 @@
 	"cottonwell/internal/net/httpio"
 	"cottonwell/internal/net/listener"
 	"cottonwell/internal/net/peers"
-	"cottonwell/internal/net/shared"
 	"cottonwell/internal/net/target"
 )
 
@@ -258,118 +257,79 @@
 	var all sync.WaitGroup
 	defer all.Wait()
 	defer cancel()
-	all.Go(func() { s.core.Run(inner) })
-	all.Go(func() { s.watch.Run(inner) })
-	all.Go(func() { re.run(inner) })
-	if s.peers != nil {
-		hear := s.core.Heard
-		if s.duties != nil {
-			hear = func(who int, raw string) {
-				if s.duties.Heard(who, raw); !fleet.Reads(raw) {
-					s.core.Heard(who, raw)
-				}
-			}
-			all.Go(func() { s.duties.Run(inner) })
-		}
-		all.Go(func() { s.peers.Run(inner, hear) })
+	s.begin(inner, &all, re, &at)
+	select { // before that nothing can be served
+	case <-s.core.Fresh():
+	case <-tooLong.C():
+	case <-ctx.Done():
 	}
-	all.Go(func() { s.stats(inner) })
-	serveClients := func() {
-		if err := s.listener.Serve(inner, at.clients); err != nil {
-			s.log.Error("listener ended", "cause", err)
+	if at.clients == nil && ctx.Err() == nil {
+		var err error
+		if at.clients, err = at.later(); err != nil {
+			s.log.Error("listen", "cause", err)
+			return
 		}
+		all.Go(func() { s.serveClients(inner, at.clients) })
 	}
+	s.listener.SetReady(ctx.Err() == nil)
+	<-ctx.Done()
+	s.windDown(inner, at.clients)
+}
+
+// begin starts all parts, but the listener for clients if that is to be opened later.
+func (s *scheduler) begin(ctx context.Context, all *sync.WaitGroup, re *reload, at *listeners) {
+	all.Go(func() { s.core.Run(ctx) })
+	all.Go(func() { s.watch.Run(ctx) })
+	all.Go(func() { re.run(ctx) })
+	s.beginPeers(ctx, all)
+	all.Go(func() { s.stats(ctx) })
 	if at.clients != nil {
-		all.Go(serveClients)
+		all.Go(func() { s.serveClients(ctx, at.clients) })
 	}
 	if at.operators != nil {
 		all.Go(func() {
-			if err := control.New(operated{s}, s.log).Serve(inner, at.operators); err != nil {
+			if err := control.New(operated{s}, s.log).Serve(ctx, at.operators); err != nil {
 				s.log.Error("control address ended", "cause", err)
 			}
 		})
 	}
 	if s.gearman != nil {
 		all.Go(func() {
-			if err := s.gearman.Serve(inner, at.gearman); err != nil {
+			if err := s.gearman.Serve(ctx, at.gearman); err != nil {
 				s.log.Error("gearman front ended", "cause", err)
 			}
 		})
 	}
 	if s.handover != nil {
 		all.Go(func() {
-			if err := s.handover.Serve(inner); err != nil {
+			if err := s.handover.Serve(ctx); err != nil {
 				s.log.Error("handover ended", "cause", err)
 			}
 		})
 		s.inherit()
 	}
-	select { // before that nothing can be served
-	case <-s.core.Fresh():
-	case <-tooLong.C():
-	case <-ctx.Done():
-	}
-	if at.clients == nil && ctx.Err() == nil {
-		var err error
-		if at.clients, err = at.later(); err != nil {
-			s.log.Error("listen", "cause", err)
-			return
-		}
-		all.Go(serveClients)
-	}
-	s.listener.SetReady(ctx.Err() == nil)
-	<-ctx.Done()
-	succeeded := at.clients != nil && s.handover != nil && s.handover.OtherReady()
-	s.log.Info("winding down", "successor", succeeded)
-	if succeeded {
-		if err := shared.Stop(at.clients); err != nil {
-			s.log.Warn("cannot stop listening", "cause", err)
-		}
+}
+
+// beginPeers starts what speaks with other schedulers.
+func (s *scheduler) beginPeers(ctx context.Context, all *sync.WaitGroup) {
+	if s.peers == nil {
+		return
 	}
-	s.listener.SetReady(false)
+	hear := s.core.Heard
 	if s.duties != nil {
-		s.duties.Resign(inner) // others have them while this one still serves
-	}
-	// Clients use the connections that they have for as long as these stay open, and have no
-	// other scheduler, so they are served for as long as the platform allows.
-	begin := s.clock.Now()
-	if !succeeded {
-		s.sleep(max(graceFor, s.killAt-windFor))
-	}
-	s.listener.Wind()
-	if s.gearman != nil {
-		s.gearman.Wind() // or clients that stay on their connections would keep the program from its end
-	}
-	last, end, again := s.clock.NewAlarm(), s.clock.NewAlarm(), s.clock.NewAlarm()
-	defer again.Stop()
-	defer last.Stop()
-	defer end.Stop()
-	last.Set(begin + max(graceFor, s.killAt-lastFor))
-	end.Set(begin + max(graceFor, s.killAt-endFor))
-	shut := false
-	for idle := s.core.Idle(); ; {
-		select {
-		case <-end.C():
-			s.log.Warn("ending with connections open", "busy", s.listener.Busy())
-			return
-		case <-last.C():
-			s.core.Finish() // what SIGKILL finds unanswered is lost
-			s.listener.Shut()
-			shut = true
-		case <-again.C():
-			idle = s.core.Idle()
-		case <-idle:
-			if s.listener.Busy() == 0 {
-				if shut {
-					return
-				}
-				// What waits for a first request may have it on the way; the next round sees whether.
-				s.listener.Shut()
-				shut = true
+		hear = func(who int, raw string) {
+			if s.duties.Heard(who, raw); !fleet.Reads(raw) {
+				s.core.Heard(who, raw)
 			}
-			idle = nil // until the next round; the end is not kept waiting for it
-			again.Set(s.clock.Now() + 20)
 		}
+		all.Go(func() { s.duties.Run(ctx) })
+	}
+	all.Go(func() { s.peers.Run(ctx, hear) })
+}
+
+func (s *scheduler) serveClients(ctx context.Context, ln net.Listener) {
+	if err := s.listener.Serve(ctx, ln); err != nil {
+		s.log.Error("listener ended", "cause", err)
 	}
 }
 
