Test that a hung process does not delay the end of the one that is told to end

TestHungProcessDelaysTheEnd, on real processes: two sockets of the scheduler that nobody answers at, and a job that does not end.

--- a/cmd/cottonwell/control_test.go
+++ b/cmd/cottonwell/control_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -164,3 +166,36 @@
 	}
 	require.LessOrEqual(t, p.failed.Load(), int64(2), "jobs that were not answered as served")
 }
+
+// Failure (found by reading): a process that was told to end looked for its successor first, and while another process hung
+// the time ran out in which it answers what is not finished.
+func TestHungProcessDelaysTheEnd(t *testing.T) {
+	t.Parallel()
+	const killedAfter, margin = 3700 * time.Millisecond, 50 * time.Millisecond
+	p, _ := startControlled(t)
+	sockets, err := filepath.Glob(filepath.Join(p.directory, "*.sock"))
+	require.NoError(t, err)
+	require.Len(t, sockets, 1)
+	for _, number := range []string{"-1.sock", "-2.sock"} {
+		other, err := net.Listen("unix", strings.TrimSuffix(sockets[0], filepath.Ext(sockets[0]))+number)
+		require.NoError(t, err)
+		defer other.Close()
+	}
+	p.hangs.Store(true)
+	p.mu.Lock()
+	at := p.listen["n0"]
+	p.mu.Unlock()
+	c, err := net.Dial("tcp", at)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /shop-view HTTP/1.1\r\nHost: x\r\nX-Txn: n0-hangs\r\nX-Remaining: 4900m\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	begun := time.Now()
+	require.NoError(t, p.schedulers["n0"].Process.Signal(syscall.SIGTERM))
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(killedAfter-margin)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err, "what is not finished is answered before the platform kills the process")
+	defer resp.Body.Close()
+	require.Greater(t, time.Since(begun), 3*time.Second, "or the job did not hang")
+}
--- a/cmd/cottonwell/removed_target_test.go
+++ b/cmd/cottonwell/removed_target_test.go
@@ -197,6 +197,7 @@
 	sends  []testSend               // all of them, in the order in which they came
 	served map[string]*atomic.Int64 // by scheduler
 	failed atomic.Int64             // requests that were not served
+	hangs  atomic.Bool              // targets start jobs and never end them
 	callUp *http.Client
 }
 
@@ -248,8 +249,12 @@
 		p.sends = append(p.sends, testSend{name, began})
 		back := "http://" + p.listen[scheduler] + "/v1/job-events"
 		p.mu.Unlock()
+		state := `"done","result":"x"`
+		if p.hangs.Load() {
+			state = `"started"`
+		}
 		go func() {
-			done := fmt.Sprintf(`{"id":%q,"from":%q,"state":"done","result":"x"}`, id, name)
+			done := fmt.Sprintf(`{"id":%q,"from":%q,"state":%s}`, id, name, state)
 			if resp, err := p.callUp.Post(back, "application/json", strings.NewReader(done)); err == nil {
 				resp.Body.Close()
 			}
