Open the handover's socket under another name, and look for others aside

What callers would have seen: call-backs of targets lost during an upgrade, if the old process looked for others in the moment in which the new one opened its socket. Between bind and listen a call is refused, which was taken for a dead process, and the socket was removed. Seen as a race of a test. The socket now gets its name once it can be called. TestSocketThatIsBeingOpenedIsRemoved fails on the form of before, passes now.

--- a/internal/net/handover/handover.go
+++ b/internal/net/handover/handover.go
@@ -71,20 +71,33 @@
 	if len(l.path) > pathMost {
 		return nil, fmt.Errorf("handover: the path %s is over %d bytes long", l.path, pathMost)
 	}
-	if err := os.Remove(l.path); err != nil && !errors.Is(err, os.ErrNotExist) { // of an earlier process of this number
-		return nil, fmt.Errorf("handover: %w", err)
-	}
 	var err error
-	if l.ln, err = net.Listen("unix", l.path); err != nil {
-		return nil, fmt.Errorf("handover: %w", err)
-	}
-	if err := os.Chmod(l.path, ownerOnly); err != nil {
-		l.ln.Close()
+	if l.ln, err = listenAt(l.path); err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
 	return l, nil
 }
 
+// listenAt listens at a path, which is there only once it can be called: others remove those at which nobody listens.
+func listenAt(path string) (net.Listener, error) {
+	first := path + ".new"
+	for _, old := range []string{first, path} { // of an earlier process of this number
+		if err := os.Remove(old); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return nil, err
+		}
+	}
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: first, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	ln.SetUnlinkOnClose(false)
+	if err := errors.Join(os.Chmod(first, ownerOnly), os.Rename(first, path)); err != nil {
+		ln.Close()
+		return nil, err
+	}
+	return ln, nil
+}
+
 // Serve answers the other process until ctx ends.
 func (l *Link) Serve(ctx context.Context) error {
 	mux := http.NewServeMux()
@@ -112,6 +125,7 @@
 	server := &http.Server{Handler: mux, ReadTimeout: wordWithin, WriteTimeout: 2 * wordWithin,
 		ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelDebug)}
 	server.SetKeepAlivesEnabled(false)
+	defer os.Remove(l.path)
 	defer context.AfterFunc(ctx, func() { server.Close() })()
 	if err := server.Serve(l.ln); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("handover: %w", err)
@@ -146,27 +160,32 @@
 	l.tell("/maintained", maintenance{target, offline})
 }
 
+// tell sends a word to all others, aside: to look for them reads a directory.
 func (l *Link) tell(path string, word any) {
-	for _, socket := range l.others() {
-		select {
-		case l.words <- struct{}{}:
-		default:
-			l.Counts.Dropped.Add(1)
-			continue
+	select {
+	case l.words <- struct{}{}:
+	default:
+		l.Counts.Dropped.Add(1)
+		return
+	}
+	go func() {
+		defer func() { <-l.words }()
+		for _, socket := range l.others() {
+			l.tellOne(socket, path, word)
 		}
-		go func() {
-			defer func() { <-l.words }()
-			body, err := json.Marshal(word)
-			if err == nil {
-				_, err = call(socket, http.MethodPost, path, body, nil)
-			}
-			if err != nil {
-				l.log.Debug("handover", "word", path, "to", socket, "cause", err)
-				return
-			}
-			l.Counts.PassedOn.Add(1)
-		}()
+	}()
+}
+
+func (l *Link) tellOne(socket, path string, word any) {
+	body, err := json.Marshal(word)
+	if err == nil {
+		_, err = call(socket, http.MethodPost, path, body, nil)
+	}
+	if err != nil {
+		l.log.Debug("handover", "word", path, "to", socket, "cause", err)
+		return
 	}
+	l.Counts.PassedOn.Add(1)
 }
 
 // OtherReady says whether another process takes clients.
--- a/internal/net/handover/handover_test.go
+++ b/internal/net/handover/handover_test.go
@@ -77,6 +77,7 @@
 	require.False(t, first.OtherReady())
 	require.Empty(t, first.Inherited())
 	first.PassOn(core.TargetNews{ID: "nobody's"}) // goes nowhere
+	require.Eventually(t, func() bool { return len(first.words) == 0 }, wait, time.Millisecond)
 	old.Maintain("s-1", true)
 	old.Maintain("s-2", false)
 	old.ready = true
@@ -133,3 +134,34 @@
 	_, err := Open(filepath.Join(t.TempDir(), strings.Repeat("x", pathMost)), "n0", ":1", &process{}, slog.Default())
 	require.Error(t, err)
 }
+
+// Failure (found by the race of a test): a process that looked for others as one was just starting took its socket for that of
+// a dead one and removed it.
+func TestSocketThatIsBeingOpenedIsRemoved(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := open(t, dir, "n0", ":1", "1")
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				l.OtherReady()
+			}
+		}
+	}()
+	for range 300 {
+		other, err := Open(dir, "n0", ":1", &process{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		require.NoError(t, err)
+		require.FileExists(t, other.path)
+		require.NoError(t, other.ln.Close())
+		require.Eventually(t, func() bool {
+			_, err := os.Stat(other.path)
+			return os.IsNotExist(err)
+		}, wait, 100*time.Microsecond, "the socket of a dead one stays")
+	}
+	close(stop)
+	<-done
+}
