Give tests of the control address loopback hosts of their own

A test of the control address failed once in a run of cmd/cottonwell: 'listen for operators: ... bind: address already in use' (which of the four was not kept). Trace: the tests found a free port of 127.0.0.1 and closed it; any connection of the tests beside them may take such a port before the program listens. Each address is now on a loopback host of its own. cmd/cottonwell passes; the four tests 6 times over.

--- a/cmd/cottonwell/control_test.go
+++ b/cmd/cottonwell/control_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,9 +35,14 @@
 	return p, control
 }
 
-// freeAddress is one on loopback at which nobody listens.
+// loopbackHosts counts the hosts that freeAddress has given.
+var loopbackHosts atomic.Int32
+
+// freeAddress is one at which nobody listens, on a loopback host that nothing else uses: a port of 127.0.0.1 may be taken by
+// any connection before the program listens there.
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+loopbackHosts.Add(1)%128, pid>>8&0xff, pid&0xff))
 	require.NoError(t, err)
 	defer ln.Close()
 	return ln.Addr().String()
