Review case 1: a repeated 'returned' makes a running purchase refused and granted twice

The case now repeats the call 'returned' in place of 'failed', which is graver: the scheduler takes the repeat for proof that the running attempt never ran, answers 503, and the client's next try is granted by the other pod.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,8 +1,10 @@
-// Case 1: a shop worker repeats a call whose answer was lost, and the scheduler takes it for the outcome of a later attempt.
+// Case 1: a shop worker repeats a call 'returned' whose answer was lost, the scheduler takes it for the outcome of a later attempt
+// that is running, and refuses a purchase that runs.
 package main
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -12,7 +14,7 @@
 	"cottonwell/review/standin"
 )
 
-const requests = 360 // 30 a second, for 12 s
+const requests = 100 // ten a second, for 10 s
 
 func main() {
 	root, folder, temp := os.Args[1], os.Args[2], os.Args[3]
@@ -27,7 +29,7 @@
 		standin.CouldNotRun(r, "address", err)
 	}
 
-	// The proxy loses the first answer to each call 'failed', for 6 s.
+	// The proxy loses the first answer to each call 'returned', for 6 s.
 	var mu sync.Mutex
 	lost := map[string]bool{}
 	var from, to time.Time
@@ -37,7 +39,7 @@
 		now := time.Now()
 		_, body, _ := bytes.Cut(call, []byte("\r\n\r\n"))
 		id := requestID(body)
-		if !trouble || now.Before(from) || now.After(to) || !bytes.Contains(body, []byte(`"state":"failed"`)) || lost[id] {
+		if !trouble || now.Before(from) || now.After(to) || !bytes.Contains(body, []byte(`"state":"returned"`)) || lost[id] {
 			return false
 		}
 		lost[id] = true
@@ -47,38 +49,44 @@
 		standin.CouldNotRun(r, "proxy", err)
 	}
 
-	var broken []string
-	served := 0
-	check := func(a *standin.Attempt, before []*standin.Attempt) {
-		for _, x := range before {
-			if !x.Ended {
-				mu.Lock()
-				broken = append(broken, fmt.Sprintf("%s got attempt %d of %s at %.1f while its attempt %d, received at %.1f, had neither ended nor been given up", a.Worker, a.Number, a.ID, a.Received, x.Number, x.Received))
-				mu.Unlock()
+	// Each pod grants a key once, and drops a repeat within 7.5 s.
+	type grant struct {
+		pod, id string
+		at      time.Time
+	}
+	grants := map[string][]grant{}  // by key
+	executed := map[string]string{} // shop worker, by id
+	result := func(a *standin.Attempt) string {
+		mu.Lock()
+		defer mu.Unlock()
+		executed[a.ID] = a.Worker
+		pod := a.Worker[:3]
+		for _, g := range grants[a.Key] {
+			if g.pod == pod && time.Since(g.at) < 7500*time.Millisecond {
+				r.Log("pod %s: the key of %s is a repeat, nothing is granted", pod, a.ID)
+				return "granted to " + a.Key
 			}
 		}
+		grants[a.Key] = append(grants[a.Key], grant{pod, a.ID, time.Now()})
+		r.Log("pod %s: granted, key %s, by %s", pod, a.Key, a.ID)
+		return "granted to " + a.Key
 	}
-	start := time.Now()
-	failing := func(a *standin.Attempt) (time.Duration, string) {
-		// It fails the first attempt of a request quickly, for 10 s, and runs the others.
-		if a.Number == 1 && time.Since(start) < 12*time.Second {
-			return 5 * time.Millisecond, "failed"
+	// A shop worker hands back half of the requests that it gets, unstarted, and runs them when they come again.
+	run := func(a *standin.Attempt) (time.Duration, string) {
+		if hash := sha256.Sum256([]byte(a.ID + a.Worker)); a.Number == 1 && hash[0]%2 == 0 {
+			return 5 * time.Millisecond, "returned"
 		}
-		return 90 * time.Millisecond, "done"
+		return 150 * time.Millisecond, "done"
 	}
-	sound := func(*standin.Attempt) (time.Duration, string) { return 90 * time.Millisecond, "done" }
 	var list []standin.Endpoint
-	for i, name := range []string{"s-a1", "s-a2", "s-a3", "s-a4", "s-b1", "s-b2", "s-b3", "s-b4"} {
-		w := &standin.Worker{Name: name, Run: sound, OnAttempt: check, CallTo: proxy.Address}
-		if i == 0 {
-			w.Run = failing
-		}
+	for i, name := range []string{"s-a1", "s-a2", "s-b1", "s-b2"} {
+		w := &standin.Worker{Name: name, Run: run, Result: result, CallTo: proxy.Address, RetryAfter: 100 * time.Millisecond}
 		if err := standin.StartWorker(r, w); err != nil {
 			standin.CouldNotRun(r, "shop worker", err)
 		}
-		e := standin.Endpoint{Name: name, Address: w.Address, Zone: "colombo-1", Type: "fast-4", Group: 1 + i/4, Status: "SERVING", Weight: 1}
-		if i >= 1 && i <= 3 {
-			e.Status = "DRAINING" // three of the eight are being replaced
+		e := standin.Endpoint{Name: name, Address: w.Address, Zone: "colombo-1", Type: "fast-4", Group: 1 + i/2, Status: "SERVING", Weight: 1}
+		if i%2 == 1 {
+			e.Status = "DRAINING" // half of the shop workers are being replaced
 		}
 		list = append(list, e)
 	}
@@ -96,39 +104,57 @@
 		standin.CouldNotRun(r, "scheduler", err)
 	}
 	mu.Lock()
-	start = time.Now()
-	from = start.Add(2 * time.Second)
+	from = time.Now().Add(2 * time.Second)
 	to = from.Add(6 * time.Second)
 	mu.Unlock()
 	client := standin.NewClient(listen)
 	var wg sync.WaitGroup
+	answers, refused := map[int]int{}, map[string]bool{}
 	for i := range requests {
 		wg.Go(func() {
-			id, key := fmt.Sprintf("%08x%08x", 0xc0ffee, i), fmt.Sprintf("%032x", 0xabcdef00+i)
-			a := client.Job("purchase", id, key, 5*time.Second)
-			r.Log("client: %s answered %d after %.0f ms", id, a.Status, float64(a.Elapsed.Microseconds())/1000)
-			if a.Status == 200 {
+			key := fmt.Sprintf("%032x", 0xabcdef00+i)
+			for try := range 3 { // a client tries again after a refusal, with the same key
+				id := fmt.Sprintf("%08x%08x", 0xc0ffee+try, i)
+				a := client.Job("purchase", id, key, 5*time.Second)
+				r.Log("client: %s (key %s, try %d) answered %d after %.0f ms", id, key, try+1, a.Status, float64(a.Elapsed.Microseconds())/1000)
 				mu.Lock()
-				served++
+				answers[a.Status]++
+				refused[id] = a.Status == 429 || a.Status == 503
+				again := refused[id]
 				mu.Unlock()
+				if !again {
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
 			}
 		})
-		time.Sleep(33 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
 	}
 	wg.Wait()
 	time.Sleep(500 * time.Millisecond)
 	s.Stop()
 	mu.Lock()
 	defer mu.Unlock()
-	r.Log("%d purchases, %d served, %d answers to calls lost", requests, served, len(lost))
-	for _, b := range broken {
-		r.Log("BROKEN: %s", b)
+	refusedAndRun, grantedTwice := 0, 0
+	for id, worker := range executed {
+		if refused[id] {
+			refusedAndRun++
+			r.Log("BROKEN: %s was refused, and %s ran it", id, worker)
+		}
+	}
+	for key, g := range grants {
+		if len(g) > 1 {
+			grantedTwice++
+			r.Log("BROKEN: the purchase with key %s was granted by %s as %s and by %s as %s", key, g[0].pod, g[0].id, g[1].pod, g[1].id)
+		}
 	}
-	if served == 0 {
+	summary := fmt.Sprintf("%d purchases, answers by status %v, %d answers to calls lost, %d requests refused that ran, %d purchases granted twice", requests, answers, len(lost), refusedAndRun, grantedTwice)
+	r.Log("%s", summary)
+	fmt.Println(summary)
+	if answers[200] == 0 {
 		standin.CouldNotRun(r, "purchases", fmt.Errorf("none was served"))
 	}
-	if len(broken) > 0 {
-		fmt.Printf("broken %d times: %s\n", len(broken), broken[0])
+	if refusedAndRun+grantedTwice > 0 {
 		r.Close()
 		os.Exit(1)
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -19,7 +19,7 @@
 	Received              float64
 	Ended                 bool // it has sent the outcome, or the scheduler gave the attempt up
 	GivenUp               bool
-	Remaining             string
+	Remaining, Body       string
 }
 
 // Worker is a shop worker: it takes jobs with 202, tells the scheduler of their start and outcome, and tries each call until it
@@ -28,6 +28,8 @@
 	Name, Address string
 	// Run decides how an attempt runs: for how long, and its outcome ('done', 'failed', 'returned').
 	Run func(a *Attempt) (time.Duration, string)
+	// Result gives the result of a job that is done; nil: Result(a.ID).
+	Result func(a *Attempt) string
 	// OnAttempt is called with each attempt and the attempts of the same request here before it.
 	OnAttempt func(a *Attempt, before []*Attempt)
 	// CallTo is the scheduler's address, or that of a proxy before it.
@@ -87,10 +89,11 @@
 		http.NotFound(rw, r)
 		return
 	}
-	if _, err := io.ReadAll(r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return // the request did not come whole
 	}
-	a := &Attempt{Worker: w.Name, ID: r.Header.Get("X-Txn"), Key: r.Header.Get("Idempotency-Key"), Path: r.URL.Path, Received: w.record.Now(), Remaining: r.Header.Get("X-Remaining")}
+	a := &Attempt{Worker: w.Name, ID: r.Header.Get("X-Txn"), Key: r.Header.Get("Idempotency-Key"), Path: r.URL.Path, Received: w.record.Now(), Remaining: r.Header.Get("X-Remaining"), Body: string(body)}
 	w.mu.Lock()
 	before := append([]*Attempt(nil), w.attempts[a.ID]...)
 	a.Number = len(before) + 1
@@ -139,6 +142,9 @@
 	event := map[string]any{"id": a.ID, "from": w.Name, "state": outcome, "load": w.Load()}
 	if outcome == "done" {
 		event["result"] = Result(a.ID)
+		if w.Result != nil {
+			event["result"] = w.Result(a)
+		}
 	}
 	w.call(a, event)
 }
