--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,16 +1,20 @@
-// Case 3: line breaks in the unique of a Gearman job become header fields, or a request of its own, at a shop worker.
+// Case 3: a Gearman client submits many jobs at once, and the scheduler closes its connection in place of its answers.
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
-	"sync"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"cottonwell/review/standin"
 )
 
+const jobs = 540 // what the schedulers of the site get together in one second of a burst
+
 func main() {
 	root, folder, temp := os.Args[1], os.Args[2], os.Args[3]
 	trouble := os.Getenv("TROUBLE") != "0"
@@ -19,52 +23,23 @@
 		standin.CouldNotRun(nil, "record", err)
 	}
 	defer r.Close()
-	var addresses [2]string
-	for i := range addresses {
-		if addresses[i], err = standin.FreeAddress(); err != nil {
-			standin.CouldNotRun(r, "address", err)
-		}
+	listen, err := standin.FreeAddress()
+	if err != nil {
+		standin.CouldNotRun(r, "address", err)
+	}
+	gearman, err := standin.FreeAddress()
+	if err != nil {
+		standin.CouldNotRun(r, "address", err)
 	}
-	listen, gearman := addresses[0], addresses[1]
 	operator := filepath.Join(temp, "operator.toml")
-	text := fmt.Sprintf("[gearman]\nlisten = %q\nconnections = 128\n[[gearman.function]]\nname = \"purchase\"\nclass = \"purchase\"\npatience_ms = 5000\ntenant = \"cricket-league\"\n", gearman)
+	text := fmt.Sprintf("[gearman]\nlisten = %q\nconnections = 128\n[[gearman.function]]\nname = \"shop-view\"\nclass = \"shop-view\"\npatience_ms = 5000\ntenant = \"cricket-league\"\n", gearman)
+	for i := range 4 {
+		text += fmt.Sprintf("[[gearman.worker]]\nid = \"tool-%d\"\nzone = \"colombo-1\"\npod = \"tools-a\"\nkind = \"fast-4\"\n", i)
+	}
 	if err := os.WriteFile(operator, []byte(text), 0o600); err != nil {
 		standin.CouldNotRun(r, "operator's file", err)
 	}
-	var mu sync.Mutex
-	var got []standin.Attempt
-	check := func(a *standin.Attempt, _ []*standin.Attempt) {
-		mu.Lock()
-		defer mu.Unlock()
-		got = append(got, *a)
-	}
-	// The pod: it grants each key once, and answers a repeat within 7.5 s with the result of the first.
-	type grant struct {
-		result string
-		at     time.Time
-	}
-	grants := map[string]grant{}
-	result := func(a *standin.Attempt) string {
-		mu.Lock()
-		defer mu.Unlock()
-		if g, found := grants[a.Key]; found && time.Since(g.at) < 7500*time.Millisecond {
-			r.Log("pod: the key %q of %s (%q) is a repeat, nothing is granted", a.Key, a.ID, a.Body)
-			return g.result
-		}
-		grants[a.Key] = grant{"granted: " + a.Body, time.Now()}
-		r.Log("pod: %q granted for key %q", a.Body, a.Key)
-		return grants[a.Key].result
-	}
-	sound := func(*standin.Attempt) (time.Duration, string) { return 60 * time.Millisecond, "done" }
-	var list []standin.Endpoint
-	for i := range 4 {
-		w := &standin.Worker{Name: fmt.Sprintf("s-%d", i), Run: sound, OnAttempt: check, Result: result, CallTo: listen}
-		if err := standin.StartWorker(r, w); err != nil {
-			standin.CouldNotRun(r, "shop worker", err)
-		}
-		list = append(list, standin.Endpoint{Name: w.Name, Address: w.Address, Zone: "colombo-1", Type: "fast-4", Group: 1, Status: "SERVING", Weight: 1})
-	}
-	discovery, err := standin.StartDiscovery(r, list)
+	discovery, err := standin.StartDiscovery(r, nil)
 	if err != nil {
 		standin.CouldNotRun(r, "discovery", err)
 	}
@@ -77,73 +52,99 @@
 		s.Stop()
 		standin.CouldNotRun(r, "scheduler", err)
 	}
-
-	// submit submits a job on a connection of its own. It returns the final packet; one of type 0 if none came.
-	submit := func(who, unique, workload string) standin.Packet {
-		c, err := standin.DialGearman(gearman)
-		if err != nil {
+	var begun atomic.Int64
+	for i := range 4 {
+		w := &standin.GearmanWorker{ID: fmt.Sprintf("tool-%d", i), Functions: []string{"shop-view"}, Run: func(_, _, _, workload string) string {
+			begun.Add(1)
+			time.Sleep(100 * time.Millisecond)
+			return "view of " + workload
+		}}
+		if err := standin.StartGearmanWorker(r, gearman, w); err != nil {
 			s.Stop()
-			standin.CouldNotRun(r, "client", err)
-		}
-		defer c.Close()
-		_ = c.SetDeadline(time.Now().Add(6 * time.Second))
-		r.Log("%s: submits the purchase %q, unique %q", who, workload, unique)
-		if err := c.Send(standin.GmSubmitJob, "purchase", unique, workload); err != nil {
-			return standin.Packet{}
+			standin.CouldNotRun(r, "worker", err)
 		}
-		for {
-			p, err := c.Receive()
+	}
+	time.Sleep(500 * time.Millisecond)
+	client, err := standin.DialGearman(gearman)
+	if err != nil {
+		s.Stop()
+		standin.CouldNotRun(r, "client", err)
+	}
+	created, served, failed, final := 0, 0, 0, map[string]int{}
+	var end error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for len(final) < jobs {
+			p, err := client.Receive()
 			if err != nil {
-				r.Log("%s: %v", who, err)
-				return standin.Packet{}
+				end = err
+				r.Log("client: the scheduler has ended its connection: %v", err)
+				return
 			}
-			r.Log("%s: gets packet %d %q", who, p.Type, p.Args)
-			if p.Type == standin.GmWorkComplete || p.Type == standin.GmWorkFail || p.Type == standin.GmError {
-				return p
+			switch p.Type {
+			case standin.GmJobCreated:
+				created++
+			case standin.GmWorkComplete:
+				served++
+				final[p.Args[0]]++
+			case standin.GmWorkFail:
+				failed++
+				final[p.Args[0]]++
+			case standin.GmError:
+				failed++
+				final[fmt.Sprint("error ", failed)]++
+			case standin.GmWorkWarning: // the reason of a refusal
+			default:
+				r.Log("client: packet %d %q", p.Type, p.Args)
 			}
 		}
-	}
-	lineEnd := " "
-	if trouble {
-		lineEnd = "\r\n"
-	}
-	served, jobs, wrong := 0, 0, 0
-	for i := range 10 {
-		jobs++
-		item := fmt.Sprintf("item %d", i)
-		p := submit("client", fmt.Sprintf("customer: 7%sorder: %d", lineEnd, i), item)
-		if p.Type != standin.GmWorkComplete {
+	}()
+	var all bytes.Buffer
+	submitted := 0
+	for i := range jobs {
+		packet := standin.EncodeGearman(standin.GmSubmitJob, "shop-view", "view-"+strconv.Itoa(i), strconv.Itoa(i))
+		if trouble {
+			all.Write(packet)
 			continue
 		}
-		served++
-		if p.Args[1] != "granted: "+item {
-			wrong++
-			r.Log("client: the result of the purchase %q is %q", item, p.Args[1])
+		if _, err := client.Write(packet); err != nil {
+			r.Log("client: job %d cannot be written: %v", i, err)
+			break
 		}
+		submitted++
+		time.Sleep(25 * time.Millisecond)
 	}
 	if trouble {
-		jobs++
-		submit("bad client", "x\r\nContent-Length: 0\r\n\r\nPOST /purchase HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: made-up-1\r\nIdempotency-Key: made-up", "item of nobody")
-	}
-	time.Sleep(500 * time.Millisecond)
-	s.Stop()
-	mu.Lock()
-	defer mu.Unlock()
-	foreign := 0
-	for _, a := range got {
-		r.Log("%s got %s %s, key %q", a.Worker, a.Path, a.ID, a.Key)
-		if a.ID == "made-up-1" {
-			foreign++
+		n, err := client.Write(all.Bytes())
+		if r.Log("client: %d of %d bytes of %d jobs written: %v", n, all.Len(), jobs, err); err == nil {
+			submitted = jobs
 		}
 	}
-	summary := fmt.Sprintf("%d jobs submitted, %d of the sound client served, %d of these with the result of another job, %d requests at shop workers, %d of them of nobody", jobs, served, wrong, len(got), foreign)
-	r.Log("%s", summary)
-	fmt.Println(summary)
-	if served == 0 {
-		standin.CouldNotRun(r, "jobs", fmt.Errorf("none was served"))
+	select {
+	case <-done:
+	case <-time.After(6 * time.Second): // the jobs' deadline is 5 s
+	}
+	ended := s.Ended()
+	select {
+	case <-done:
+	default:
+		_ = client.Close()
+		<-done
 	}
-	if foreign > 0 || wrong > 0 {
-		r.Log("BROKEN: %d results of another job, %d requests at shop workers that nobody sent", wrong, foreign)
+	time.Sleep(300 * time.Millisecond)
+	s.Stop()
+	missing := submitted - len(final)
+	result := fmt.Sprintf("%d jobs submitted, %d created, %d served, %d failed or refused, %d without a final packet, %d begun by workers", submitted, created, served, failed, missing, begun.Load())
+	r.Log("%s; end of the connection: %v", result, end)
+	fmt.Println(result)
+	switch {
+	case ended:
+		standin.CouldNotRun(r, "scheduler", fmt.Errorf("it ended: %s", s.ExitState()))
+	case submitted == 0:
+		standin.CouldNotRun(r, "jobs", fmt.Errorf("none was submitted"))
+	case missing > 0:
+		r.Log("BROKEN: %d jobs that the scheduler had taken got no final answer", missing)
 		r.Close()
 		os.Exit(1)
 	}
