Review case 2: a Gearman unique becomes header fields, requests and wrong workloads

Uniques with line breaks, the unique '-' with a NUL byte in the workload, and a bad client's unique.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,4 +1,5 @@
-// Case 2: line breaks in the unique of a Gearman job become header fields, or a request of its own, at a shop worker.
+// Case 2: the unique of a Gearman job is written unchecked into other messages: line breaks in it become header fields, or a request
+// of its own, at a shop worker, and a NUL byte in it shifts the arguments of a Gearman worker's job.
 package main
 
 import (
@@ -27,7 +28,9 @@
 	}
 	listen, gearman := addresses[0], addresses[1]
 	operator := filepath.Join(temp, "operator.toml")
-	text := fmt.Sprintf("[gearman]\nlisten = %q\nconnections = 128\n[[gearman.function]]\nname = \"purchase\"\nclass = \"purchase\"\npatience_ms = 5000\ntenant = \"cricket-league\"\n", gearman)
+	text := fmt.Sprintf("[gearman]\nlisten = %q\nconnections = 128\n[[gearman.function]]\nname = \"purchase\"\nclass = \"purchase\"\npatience_ms = 5000\ntenant = \"cricket-league\"\n", gearman) +
+		"[[gearman.function]]\nname = \"shop-view\"\nclass = \"shop-view\"\npatience_ms = 5000\ntenant = \"cricket-league\"\n" +
+		"[[gearman.worker]]\nid = \"tool-1\"\nzone = \"colombo-1\"\npod = \"tools-a\"\nkind = \"fast-4\"\n"
 	if err := os.WriteFile(operator, []byte(text), 0o600); err != nil {
 		standin.CouldNotRun(r, "operator's file", err)
 	}
@@ -62,13 +65,13 @@
 		if err := standin.StartWorker(r, w); err != nil {
 			standin.CouldNotRun(r, "shop worker", err)
 		}
-		list = append(list, standin.Endpoint{Name: w.Name, Address: w.Address, Zone: "colombo-1", Type: "fast-4", Group: 1, Status: "SERVING", Weight: 1})
+		list = append(list, standin.Endpoint{Name: w.Name, Address: w.Address, Zone: "colombo-1", Type: "slow-4", Group: 1, Status: "SERVING", Weight: 1})
 	}
 	discovery, err := standin.StartDiscovery(r, list)
 	if err != nil {
 		standin.CouldNotRun(r, "discovery", err)
 	}
-	s, err := standin.StartScheduler(root, temp, standin.Settings{Name: "n0", Listen: listen, Discovery: discovery.Address, Operator: operator, Fleet: 1, Known: discovery.List()})
+	s, err := standin.StartScheduler(root, temp, standin.Settings{Name: "n0", Listen: listen, Discovery: discovery.Address, Operator: operator, Fleet: 1, Known: discovery.List(), ClassKind: []int{0, -1}})
 	if err != nil {
 		standin.CouldNotRun(r, "scheduler", err)
 	}
@@ -78,8 +81,18 @@
 		standin.CouldNotRun(r, "scheduler", err)
 	}
 
+	tool := &standin.GearmanWorker{ID: "tool-1", Functions: []string{"shop-view"}, Run: func(_, _, unique, workload string) string {
+		r.Log("tool-1: unique %q, workload %q", unique, workload)
+		return "view of " + workload
+	}}
+	if err := standin.StartGearmanWorker(r, gearman, tool); err != nil {
+		s.Stop()
+		standin.CouldNotRun(r, "worker", err)
+	}
+	time.Sleep(500 * time.Millisecond)
+
 	// submit submits a job on a connection of its own. It returns the final packet; one of type 0 if none came.
-	submit := func(who, unique, workload string) standin.Packet {
+	submit := func(who, function, unique, workload string) standin.Packet {
 		c, err := standin.DialGearman(gearman)
 		if err != nil {
 			s.Stop()
@@ -87,8 +100,8 @@
 		}
 		defer c.Close()
 		_ = c.SetDeadline(time.Now().Add(6 * time.Second))
-		r.Log("%s: submits the purchase %q, unique %q", who, workload, unique)
-		if err := c.Send(standin.GmSubmitJob, "purchase", unique, workload); err != nil {
+		r.Log("%s: submits the %s %q, unique %q", who, function, workload, unique)
+		if err := c.Send(standin.GmSubmitJob, function, unique, workload); err != nil {
 			return standin.Packet{}
 		}
 		for {
@@ -111,7 +124,7 @@
 	for i := range 10 {
 		jobs++
 		item := fmt.Sprintf("item %d", i)
-		p := submit("client", fmt.Sprintf("customer: 7%sorder: %d", lineEnd, i), item)
+		p := submit("client", "purchase", fmt.Sprintf("customer: 7%sorder: %d", lineEnd, i), item)
 		if p.Type != standin.GmWorkComplete {
 			continue
 		}
@@ -121,9 +134,26 @@
 			r.Log("client: the result of the purchase %q is %q", item, p.Args[1])
 		}
 	}
+	views, wrongViews := 0, 0
+	for i := range 5 {
+		jobs++
+		unique, page := fmt.Sprintf("view-%d", i), fmt.Sprintf("page %d\x00of customer 7", i)
+		if trouble {
+			unique = "-"
+		}
+		p := submit("client", "shop-view", unique, page)
+		if p.Type != standin.GmWorkComplete {
+			continue
+		}
+		views++
+		if p.Args[1] != "view of "+page {
+			wrongViews++
+			r.Log("client: the result of the shop view %q is %q", page, p.Args[1])
+		}
+	}
 	if trouble {
 		jobs++
-		submit("bad client", "x\r\nContent-Length: 0\r\n\r\nPOST /purchase HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: made-up-1\r\nIdempotency-Key: made-up", "item of nobody")
+		submit("bad client", "purchase", "x\r\nContent-Length: 0\r\n\r\nPOST /purchase HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: made-up-1\r\nIdempotency-Key: made-up", "item of nobody")
 	}
 	time.Sleep(500 * time.Millisecond)
 	s.Stop()
@@ -136,14 +166,15 @@
 			foreign++
 		}
 	}
-	summary := fmt.Sprintf("%d jobs submitted, %d of the sound client served, %d of these with the result of another job, %d requests at shop workers, %d of them of nobody", jobs, served, wrong, len(got), foreign)
+	summary := fmt.Sprintf("%d jobs submitted; %d purchases served, %d of them with the result of another one; %d shop views served, %d of them of another workload; %d requests at shop workers, %d of them of nobody",
+		jobs, served, wrong, views, wrongViews, len(got), foreign)
 	r.Log("%s", summary)
 	fmt.Println(summary)
-	if served == 0 {
+	if served == 0 || views == 0 {
 		standin.CouldNotRun(r, "jobs", fmt.Errorf("none was served"))
 	}
-	if foreign > 0 || wrong > 0 {
-		r.Log("BROKEN: %d results of another job, %d requests at shop workers that nobody sent", wrong, foreign)
+	if foreign+wrong+wrongViews > 0 {
+		r.Log("BROKEN: %d wrong results, %d requests at shop workers that nobody sent", wrong+wrongViews, foreign)
 		r.Close()
 		os.Exit(1)
 	}
--- a/review/standin/scheduler.go
+++ b/review/standin/scheduler.go
@@ -46,6 +46,7 @@
 	Known                                               List
 	Cores                                               float64
 	Sockets                                             int
+	ClassKind                                           []int // machine kind that each class requires, by index; nil: none
 }
 
 // config returns the configuration with the settings of colombo-shop.
@@ -54,12 +55,16 @@
 	class := func(name, semantics, scope string, span int, worth float64) m {
 		return m{"name": name, "semantics": semantics, "key-scope": scope, "aim-us": 75000, "deadline-us": 5000000, "memory-span-us": span, "worth": worth, "streaming": false, "late-value": 0.0}
 	}
+	classKind := s.ClassKind
+	if classKind == nil {
+		classKind = []int{-1, -1}
+	}
 	cfg := m{"name": s.Name, "listen": s.Listen, "discovery": s.Discovery, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()),
 		"limits": m{"cores": s.Cores, "memory_mb": 192, "sockets": s.Sockets}, "known": s.Known,
 		"settings": m{"me": s.Me, "fleet-size": s.Fleet, "locality": "colombo-1", "localities": []string{"colombo-1", "colombo-2", "kandy-1", "galle-1"},
 			"kinds": []string{"fast-4", "slow-4"}, "tick-us": 5000, "counted-by": "request", "family": "jobs", "registry-mode": "subscribe",
 			"classes":     []m{class("shop-view", "safe", "all", 5000000, 5), class("purchase", "keyed", "cell", 7500000, 3)},
-			"family-info": m{"class-kind": []int{-1, -1}, "class-priority": []int{1, 0}, "class-stretch": []float64{2, 2.5}, "tells-start": true, "progress-us": 0, "report-x0": "free slots", "report-x1": "free memory", "queue-order": "fifo"},
+			"family-info": m{"class-kind": classKind, "class-priority": []int{1, 0}, "class-stretch": []float64{2, 2.5}, "tells-start": true, "progress-us": 0, "report-x0": "free slots", "report-x1": "free memory", "queue-order": "fifo"},
 			"load-info":   m{"how": "piggyback", "names": []string{"active", "waiting", "x0", "x1"}},
 			"permissions": m{"attempts-cap": 3, "cancel": true, "may-duplicate": false, "may-tell": s.PeerListen != "", "probes": true, "retry-after": false, "max-retry-after-us": 2000000, "conn-idle-us": 30000000, "dial-timeout-us": 250000, "max-open": 40000, "streams-per-conn": 1, "cpu-us-per-s": 16000, "cpu-us-per-request": 10.0},
 			"prices":      m{"cross-zone": 0.059, "late-fail": 0.041, "waste": 0.05, "peer": 0.01, "probe": 0.0019},
