--- a/review/standin/scheduler.go
+++ b/review/standin/scheduler.go
@@ -75,7 +75,7 @@
 		cfg["control"] = s.Control
 	}
 	if s.PeerListen != "" {
-		cfg["peer_listen"], cfg["peers"] = s.PeerListen, s.Peers
+		cfg["peer_listen"], cfg["peers"], cfg["peers_all"] = s.PeerListen, s.Peers, "127.255.255.254:9"
 	}
 	return cfg
 }
