--- a/review/1/main.go
+++ b/review/1/main.go
@@ -71,7 +71,7 @@
 		r.Log("pod %s: granted, key %s, by %s", pod, a.Key, a.ID)
 		return "granted to " + a.Key
 	}
-	// A shop worker hands back half of the requests that it gets, unstarted, and runs them when they come again.
+	// A shop worker hands back half of the requests that it gets, unstarted, for want of memory, and runs them when they come again.
 	run := func(a *standin.Attempt) (time.Duration, string) {
 		if hash := sha256.Sum256([]byte(a.ID + a.Worker)); a.Number == 1 && hash[0]%2 == 0 {
 			return 5 * time.Millisecond, "returned"
@@ -84,7 +84,7 @@
 		if err := standin.StartWorker(r, w); err != nil {
 			standin.CouldNotRun(r, "shop worker", err)
 		}
-		e := standin.Endpoint{Name: name, Address: w.Address, Zone: "colombo-1", Type: "fast-4", Group: 1 + i/2, Status: "SERVING", Weight: 1}
+		e := standin.Endpoint{Name: name, Address: w.Address, Zone: "colombo-1", Type: "slow-4", Group: 1 + i/2, Status: "SERVING", Weight: 1}
 		if i%2 == 1 {
 			e.Status = "DRAINING" // half of the shop workers are being replaced
 		}
@@ -115,6 +115,7 @@
 			key := fmt.Sprintf("%032x", 0xabcdef00+i)
 			for try := range 3 { // a client tries again after a refusal, with the same key
 				id := fmt.Sprintf("%08x%08x", 0xc0ffee+try, i)
+				r.Log("client: sends %s (key %s, try %d)", id, key, try+1)
 				a := client.Job("purchase", id, key, 5*time.Second)
 				r.Log("client: %s (key %s, try %d) answered %d after %.0f ms", id, key, try+1, a.Status, float64(a.Elapsed.Microseconds())/1000)
 				mu.Lock()
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,7 +5,11 @@
 program="$root/review/bin/case$(basename "$here")"
 [ -x "$program" ] && [ -x "$root/bin/cottonwell" ] || { echo "not built: run the build of the deploy file and review/build.sh"; exit 2; }
 temp=$(mktemp -d) || exit 2
+pid=
 trap 'rm -rf "$temp"' EXIT
-"$program" "$root" "$here" "$temp"
+trap '[ -z "$pid" ] || kill "$pid"; exit 2' INT TERM
+"$program" "$root" "$here" "$temp" & # its schedulers end with it
+pid=$!
+wait "$pid"
 status=$?
 case $status in 0 | 1 | 2) exit $status ;; *) exit 2 ;; esac
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -86,9 +86,11 @@
 			case standin.GmJobCreated:
 				created++
 			case standin.GmWorkComplete:
+				r.Log("client: %s is served", p.Args[0])
 				served++
 				final[p.Args[0]]++
 			case standin.GmWorkFail:
+				r.Log("client: %s is failed or refused", p.Args[0])
 				failed++
 				final[p.Args[0]]++
 			case standin.GmError:
@@ -113,6 +115,7 @@
 			break
 		}
 		submitted++
+		r.Log("client: submits job %d", i)
 		time.Sleep(25 * time.Millisecond)
 	}
 	if trouble {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -128,7 +128,9 @@
 // run runs an attempt. What was given up runs on, but its outcome is not told.
 func (w *Worker) run(a *Attempt) {
 	duration, outcome := w.Run(a)
-	w.call(a, map[string]any{"id": a.ID, "from": w.Name, "state": "started"})
+	if outcome != "returned" { // what is handed back has not started
+		w.call(a, map[string]any{"id": a.ID, "from": w.Name, "state": "started"})
+	}
 	time.Sleep(duration)
 	w.mu.Lock()
 	w.held--
@@ -139,7 +141,11 @@
 	if !tell {
 		return
 	}
-	event := map[string]any{"id": a.ID, "from": w.Name, "state": outcome, "load": w.Load()}
+	load := w.Load()
+	if outcome == "returned" {
+		load["x1"] = 0 // it is handed back for want of memory
+	}
+	event := map[string]any{"id": a.ID, "from": w.Name, "state": outcome, "load": load}
 	if outcome == "done" {
 		event["result"] = Result(a.ID)
 		if w.Result != nil {
