--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -15,6 +18,8 @@
 	viewTime     = 140 * time.Millisecond
 	keyWindow    = 7500 * time.Millisecond // in which the workers of one pod drop repeats of a key
 	drainGrace   = 300 * time.Millisecond  // 250 ms, and 50 ms on sockets
+	outage       = 8 * time.Second         // of discovery
+	toldWithin   = 6 * time.Second         // after which a change counts as told, whether it arrived or not
 )
 
 // clientTimeout is how long a client waits, and finalSlack what the rule allows beyond it.
@@ -28,7 +33,7 @@
 
 // startGearmanShop starts a scheduler with a Gearman front and the given workers, and waits until all of them are connected.
 func startGearmanShop(s *shop, a addresses, workers []*gearmanWorker) *process {
-	discovery := startDiscovery(nil).address
+	discovery := startDiscovery(nil, s.record).address
 	config := s.write("config.json", configuration(nil))
 	operator := s.write("operator.toml", operatorFile(a.gearman, workers))
 	p := s.start("n0", map[string]string{"RELAY_CONFIG": config, "RELAY_OPERATOR": operator, "RELAY_NAME": "n0",
@@ -126,89 +131,6 @@
 	rec.line("client of %s gets packet %d, error %v", key, kind, err)
 }
 
-func init() { cases["offline"] = playOffline }
-
-// playOffline: operators take a worker out, restart it, and put it back. It must get nothing in the meantime.
-func playOffline(s *shop, rec *record) (breaks []string) {
-	a := newAddresses()
-	workers := twelveWorkers(a.gearman, rec)
-	var mu sync.Mutex
-	var offlineFrom, offlineUntil time.Time
-	got := 0
-	for _, w := range workers {
-		w.run = func(w *gearmanWorker, _ *link, j job) (string, bool) {
-			mu.Lock()
-			out := !offlineFrom.IsZero() && time.Since(offlineFrom) > drainGrace && offlineUntil.IsZero()
-			if w == workers[0] {
-				if got++; out {
-					breaks = append(breaks, fmt.Sprintf("%s began %s %.3f s after the yes to offline", w.id, j.unique, time.Since(offlineFrom).Seconds()))
-				}
-			}
-			mu.Unlock()
-			time.Sleep(purchaseTime)
-			return "granted " + j.unique, true
-		}
-	}
-	startGearmanShop(s, a, workers[:1])
-	for _, w := range workers[1:] {
-		w.start()
-	}
-	stop := make(chan struct{})
-	var wait sync.WaitGroup
-	for c := range 8 {
-		wait.Go(func() {
-			for i := 0; ; i++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(20 * time.Millisecond):
-				}
-				submitOnce(a.gearman, "purchase", fmt.Sprintf("grant-%d-%d", c, i), "coins", rec)
-			}
-		})
-	}
-	time.Sleep(5 * time.Second)
-	mu.Lock()
-	rec.line("%s has got %d jobs", workers[0].id, got)
-	if got == 0 {
-		fail("the worker got nothing before")
-	}
-	mu.Unlock()
-	// The worker connected first, so this is the name under which the scheduler knows it. Its plain id is tried before.
-	name := workers[0].id
-	yes := call(a.control, "POST", "shop-workers/"+name+"/offline")
-	rec.line("operators call offline %s: %v", name, yes)
-	if !yes {
-		name = "gearman:" + workers[0].id + "%231"
-		yes = call(a.control, "POST", "shop-workers/"+name+"/offline")
-		rec.line("operators call offline %s: %v", name, yes)
-	}
-	if !yes {
-		fail("no name of the worker gets a yes")
-	}
-	mu.Lock()
-	offlineFrom = time.Now()
-	mu.Unlock()
-	time.Sleep(time.Second)
-	if trouble {
-		rec.line("operators restart %s", workers[0].id)
-		workers[0].stop(false)
-		time.Sleep(500 * time.Millisecond)
-		workers[0].start()
-	}
-	time.Sleep(8 * time.Second)
-	mu.Lock()
-	offlineUntil = time.Now()
-	mu.Unlock()
-	rec.line("operators call online %s: %v", name, call(a.control, "POST", "shop-workers/"+name+"/online"))
-	time.Sleep(time.Second)
-	close(stop)
-	wait.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	return breaks
-}
-
 // submitOnce submits one job on a connection of its own and records its final packet.
 func submitOnce(address, function, unique, workload string, rec *record) (kind int, data string) {
 	l, err := dialGearman(address)
@@ -345,7 +267,7 @@
 		done[key] = true
 		return "granted " + key
 	})
-	d := startDiscovery(list)
+	d := startDiscovery(list, rec)
 	config := s.write("config.json", configuration(nil))
 	operator := s.write("operator.toml", operatorFile(a.gearman, nil))
 	s.start("n0", map[string]string{"RELAY_CONFIG": config, "RELAY_OPERATOR": operator, "RELAY_NAME": "n0",
@@ -366,12 +288,8 @@
 			accepted = append(accepted, key)
 		}
 		if trouble && i == 50 {
-			rec.line("discovery is down")
 			d.setDown(true)
-			time.AfterFunc(8*time.Second, func() {
-				rec.line("discovery is back")
-				d.setDown(false)
-			})
+			time.AfterFunc(outage, func() { d.setDown(false) })
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -385,3 +303,94 @@
 	}
 	return breaks
 }
+
+func init() { cases["silence"] = playSilence }
+
+// playSilence: discovery stalls and then goes down. Its watches fall silent, a shop worker begins to drain 0.2 s later, and 1.7 s
+// after that discovery is down for 8 s.
+func playSilence(s *shop, rec *record) (breaks []string) {
+	a := newAddresses()
+	var mu sync.Mutex
+	var draining string
+	var toldAt time.Time
+	list := startShopWorkers(12, a.listen, rec, func(w *shopWorker, id, key string) string {
+		mu.Lock()
+		if late := time.Since(toldAt); w.Name == draining && late > drainGrace {
+			breaks = append(breaks, fmt.Sprintf("%s was sent %s %.3f s after its drain counted as told", w.Name, id, late.Seconds()))
+		}
+		mu.Unlock()
+		time.Sleep(purchaseTime)
+		return "granted " + key
+	})
+	d := startDiscovery(list, rec)
+	config := s.write("config.json", configuration(nil))
+	s.start("n0", map[string]string{"RELAY_CONFIG": config, "RELAY_NAME": "n0", "RELAY_LISTEN": a.listen, "RELAY_DISCOVERY": d.address})
+	awaitUp(a.listen, 10*time.Second)
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for c := range 10 {
+		wait.Go(func() { purchases(a.listen, c, stop, rec) })
+	}
+	time.Sleep(3 * time.Second)
+	select {
+	case <-d.line: // an older line
+	default:
+	}
+	<-d.line
+	if trouble {
+		d.silence()
+	}
+	time.Sleep(200 * time.Millisecond)
+	mu.Lock()
+	draining = list[2].Name
+	d.drain(draining)
+	if toldAt = time.Now(); trouble { // nothing was written: the change counts as told later
+		toldAt = toldAt.Add(toldWithin)
+	}
+	mu.Unlock()
+	time.Sleep(1700 * time.Millisecond)
+	if trouble {
+		d.setDown(true)
+		time.AfterFunc(outage, func() { d.setDown(false) })
+	}
+	time.Sleep(outage + 5*time.Second)
+	close(stop)
+	wait.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	return breaks
+}
+
+// purchases submits one purchase after another over HTTP until stop is closed.
+func purchases(address string, client int, stop <-chan struct{}, rec *record) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		key := fmt.Sprintf("%08x-%d", client, i)
+		status, body := postJob(address, "purchase", key, "key-"+key)
+		rec.line("client of %s gets %d %q", key, status, body)
+	}
+}
+
+// postJob submits a job over HTTP and returns the answer; status 0 is an error.
+func postJob(address, class, id, key string) (status int, body string) {
+	req, err := http.NewRequest("POST", "http://"+address+"/"+class, strings.NewReader("{}"))
+	must(err)
+	req.Header.Set("X-Txn", id)
+	req.Header.Set("X-Org", "cricket-league")
+	req.Header.Set("X-Remaining", "5000m")
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
--- a/review/standin2/scheduler.go
+++ b/review/standin2/scheduler.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -175,30 +174,6 @@
 	fail("the scheduler at %s was not ready in time", address)
 }
 
-// call makes an operator's call and reports whether the answer was yes.
-func call(control, method, path string) bool {
-	req, err := http.NewRequest(method, "http://"+control+"/control/"+path, nil)
-	must(err)
-	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
-	must(err)
-	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode/100 == 2
-}
-
-// endpoint is an entry of discovery's list.
-type endpoint struct {
-	Name    string  `json:"name"`
-	Address string  `json:"address"`
-	Zone    string  `json:"zone"`
-	Type    string  `json:"type"`
-	Group   int     `json:"group"`
-	Status  string  `json:"status"`
-	Weight  float64 `json:"weight"`
-	SinceMS int64   `json:"since_ms"`
-}
-
 // configuration returns the platform's configuration of a small deployment of colombo-shop. Values of extra replace its own.
 func configuration(extra map[string]any) string {
 	cfg := map[string]any{
--- a/review/standin2/shopworkers.go
+++ b/review/standin2/shopworkers.go
@@ -7,7 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 )
@@ -75,57 +75,154 @@
 	}
 }
 
-// discovery is the platform's list of targets. It can go down: its watches end, and calls end with 503.
+// discovery is the platform's list of targets. Its watches can fall silent, and it can go down: then its watches end, and
+// calls end with 503.
 type discovery struct {
 	address string
+	record  *record
 	mu      sync.Mutex
+	index   int
 	list    []endpoint
 	down    bool
-	changed chan struct{} // closed at each change of down
+	watches map[*watch]bool
+	line    chan time.Time // receives the time of each empty line that was written
 }
 
-func startDiscovery(list []endpoint) *discovery {
+// watch is an open watch.
+type watch struct {
+	changes chan string // objects to write
+	end     chan struct{}
+	silent  bool // guarded by the mutex of discovery
+}
+
+func startDiscovery(list []endpoint, rec *record) *discovery {
 	if list == nil {
 		list = []endpoint{}
 	}
 	ln, err := net.Listen("tcp", host+":0")
 	must(err)
-	d := &discovery{address: ln.Addr().String(), list: list, changed: make(chan struct{})}
+	d := &discovery{address: ln.Addr().String(), record: rec, index: 41, list: list, watches: map[*watch]bool{}, line: make(chan time.Time, 1)}
 	go func() { _ = http.Serve(ln, d) }()
 	return d
 }
 
+// setDown takes discovery down, or brings it back.
 func (d *discovery) setDown(down bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.down = down
-	close(d.changed)
-	d.changed = make(chan struct{})
+	d.record.line("discovery: down=%v", down)
+	if down {
+		for w := range d.watches {
+			close(w.end)
+		}
+		clear(d.watches)
+	}
+}
+
+// silence makes the open watches fall silent. Those that are opened later are not.
+func (d *discovery) silence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for w := range d.watches {
+		w.silent = true
+	}
+	d.record.line("discovery: %d open watches fall silent", len(d.watches))
+}
+
+// drain lists a target as draining, and tells it on the watches that are not silent.
+func (d *discovery) drain(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.index++
+	d.list = slices.Clone(d.list)
+	for i := range d.list {
+		if d.list[i].Name != name {
+			continue
+		}
+		d.list[i].Status = "DRAINING"
+		text, err := json.Marshal(map[string]any{"index": d.index, "snapshot": false, "endpoints": d.list[i : i+1]})
+		must(err)
+		for w := range d.watches {
+			if !w.silent {
+				w.changes <- string(text)
+			}
+		}
+	}
+	d.record.line("discovery: %s drains", name)
 }
 
-// ServeHTTP answers with the whole list, and on a watch with an empty line every 2 s.
-func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// open registers a watch and returns the whole list, or false while discovery is down.
+func (d *discovery) open(w *watch) (list string, ok bool) {
 	d.mu.Lock()
-	down, changed := d.down, d.changed
-	text, _ := json.Marshal(map[string]any{"index": 41, "snapshot": true, "endpoints": d.list})
-	d.mu.Unlock()
-	if down || !strings.HasPrefix(r.URL.Path, "/discovery/hosts") {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	defer d.mu.Unlock()
+	if d.down {
+		return "", false
+	}
+	if w != nil {
+		d.watches[w] = true
+	}
+	text, err := json.Marshal(map[string]any{"index": d.index, "snapshot": true, "endpoints": d.list})
+	must(err)
+	return string(text), true
+}
+
+// ServeHTTP answers with the whole list, and on a watch with the changes and an empty line every 2 s.
+func (d *discovery) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	var w *watch
+	if r.URL.Query().Get("watch") == "1" {
+		w = &watch{changes: make(chan string, 16), end: make(chan struct{})}
+	}
+	list, ok := d.open(w)
+	if !ok || r.URL.Path != "/discovery/hosts" {
+		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = w.Write(append(text, '\n'))
-	if r.URL.Query().Get("watch") != "1" {
+	_, _ = io.WriteString(rw, list+"\n")
+	if w == nil {
 		return
 	}
+	d.record.line("discovery: a watch opens")
 	for {
-		w.(http.Flusher).Flush()
+		rw.(http.Flusher).Flush()
 		select {
 		case <-r.Context().Done():
+			d.mu.Lock()
+			delete(d.watches, w)
+			d.mu.Unlock()
 			return
-		case <-changed:
-			panic(http.ErrAbortHandler) // the watch ends
+		case <-w.end:
+			panic(http.ErrAbortHandler)
+		case text := <-w.changes:
+			_, _ = io.WriteString(rw, text+"\n")
 		case <-time.After(2 * time.Second):
-			_, _ = w.Write([]byte("\n"))
+			d.writeEmptyLine(rw, w)
 		}
 	}
 }
+
+func (d *discovery) writeEmptyLine(rw http.ResponseWriter, w *watch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w.silent {
+		return
+	}
+	_, _ = io.WriteString(rw, "\n")
+	rw.(http.Flusher).Flush()
+	select {
+	case d.line <- time.Now():
+	default:
+	}
+}
+
+// endpoint is an entry of discovery's list.
+type endpoint struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	SinceMS int64   `json:"since_ms"`
+}
