Take the end of a watch as no confirmation of the list

Cause: the end of a watch counted as a heartbeat if the last line was less than 2.15 s old, so the lease on the list ran from the end of the silence instead of from its start.

Change: only what discovery writes renews the lease. TestWatchEndIsHeartbeat demanded the fault; TestWatchEndIsNoHeartbeat checks as many ends, at four times. TestRemovedTargetIsSentTo has a row for asked and one for pushed lists.

--- a/cmd/cottonwell/removed_target_test.go
+++ b/cmd/cottonwell/removed_target_test.go
@@ -411,7 +411,10 @@
 		"a new process has an old list":                              (*testFleet).startWithOldList,
 		"a process is paused":                                        (*testFleet).pauseProcesses,
 		"watches become silent":                                      func(fleet *testFleet) { fleet.silenceWatches(pollingConfig) },
-		"watches become silent, with pushed lists":                   func(fleet *testFleet) { fleet.silenceWatches([2]string{pollingConfig[0], `"automatic"`}) },
+		"watches become silent, with pushed lists":                   func(fleet *testFleet) { fleet.silenceWatches(pushingConfig) },
+		// Failure (review case 10): the end of a watch that had fallen silent counted as a confirmation of the list.
+		"silent watches end":                    func(fleet *testFleet) { fleet.endSilentWatches(pollingConfig) },
+		"silent watches end, with pushed lists": func(fleet *testFleet) { fleet.endSilentWatches(pushingConfig) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -541,6 +544,26 @@
 // pollingConfig is a configuration change without effect: the test configuration polls discovery for the list.
 var pollingConfig = [2]string{`"subscribe"`, `"subscribe"`}
 
+// pushingConfig is a configuration change by which an agent pushes the lists.
+var pushingConfig = [2]string{pollingConfig[0], `"automatic"`}
+
+// endSilentWatches makes all watches silent directly after a heartbeat, and discovery unavailable within the time in which the
+// next heartbeat would be due.
+func (f *testFleet) endSilentWatches(mode [2]string) {
+	const heartbeatInterval = 2 * time.Second
+	for i := range 2 {
+		f.startScheduler(i, 2, f.discoveryAddress(i), [2]string{`"probes":false`, withProbes}, mode)
+	}
+	f.requireServing("after the start")
+	f.discovery.setMode(responding) // writes a heartbeat on each watch
+	time.Sleep(50 * time.Millisecond)
+	f.discovery.setMode(silent)
+	f.removeHalfOfTargets()
+	time.Sleep(heartbeatInterval - 100*time.Millisecond)
+	f.discovery.setMode(unavailable)
+	time.Sleep(8 * time.Second)
+}
+
 func (f *testFleet) silenceWatches(mode [2]string) {
 	for i := range 2 {
 		f.startScheduler(i, 2, f.discoveryAddress(i), [2]string{`"probes":false`, withProbes}, mode)
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -23,8 +23,6 @@
 	// reports no error: an empty line arrives every 2 s. Changes that a silent watch misses count as reported 6 s
 	// after it fell silent, and a new watch has to be open by then.
 	silenceTimeout = 3500.0
-	// maxEmptyLineGap is the longest time in milliseconds between two empty lines on a working watch.
-	maxEmptyLineGap = 2150.0
 )
 
 // Watcher keeps at most one watch open, and after a change of address also the previous one. It does not retry: it
--- a/internal/net/discovery/stream_test.go
+++ b/internal/net/discovery/stream_test.go
@@ -278,46 +278,39 @@
 	require.Empty(t, heartbeats, "an empty line was overdue: the watch had fallen silent")
 }
 
-// The end of a watch that had not fallen silent shows that discovery had reported everything until then, whether
-// it ends with a close or a reset. An end inside a list shows nothing, nor does a close by the watcher.
-func TestWatchEndIsHeartbeat(t *testing.T) {
-	for name, play := range map[string]struct {
-		ends      func(s *fixture, chunk func(string), c net.Conn)
-		heartbeat bool
-	}{
-		"closed": {func(_ *fixture, _ func(string), c net.Conn) { c.Close() }, true},
-		"reset": {func(_ *fixture, _ func(string), c net.Conn) {
+// Failure: a watch that had fallen silent and then ended counted as confirmed up to its end, although it had hidden the
+// changes since its last line. No end of a watch is a heartbeat, whoever ends it and however soon after a line.
+func TestWatchEndIsNoHeartbeat(t *testing.T) {
+	for name, end := range map[string]func(s *fixture, chunk func(string), c net.Conn){
+		"closed":         func(_ *fixture, _ func(string), c net.Conn) { c.Close() },
+		"last chunk":     func(_ *fixture, _ func(string), c net.Conn) { _, _ = io.WriteString(c, "0\r\n\r\n") },
+		"inside a chunk": func(_ *fixture, _ func(string), c net.Conn) { _, _ = io.WriteString(c, "9\r\n"); c.Close() },
+		"reset": func(_ *fixture, _ func(string), c net.Conn) {
 			_ = c.(*net.TCPConn).SetLinger(0)
 			c.Close()
-		}, true},
-		"inside a list": {func(s *fixture, chunk func(string), c net.Conn) {
+		},
+		"inside a list": func(s *fixture, chunk func(string), c net.Conn) {
 			chunk(s.list(43)[:20])
 			s.awaitDeadlines(6, "request, response, open, begun, whole, begun")
 			c.Close()
-		}, false},
-		"closed by the watcher": {func(s *fixture, chunk func(string), _ net.Conn) {
+		},
+		"closed by the watcher": func(s *fixture, chunk func(string), _ net.Conn) {
 			s.clock.pass()
-			chunk("\n")
-		}, false},
+			chunk(s.list(43)[:20])
+		},
 	} {
-		s := newFixture(t)
-		heartbeats := make(chan float64, 9)
-		s.w.OnHeartbeat = func(readAt float64) { heartbeats <- readAt }
-		s.w.RequestWatch()
-		_, chunk, c := s.open()
-		chunk(s.list(42))
-		<-s.lists
-		s.clock.Advance(2149)
-		play.ends(s, chunk, c)
-		require.Equal(t, balance.RequestFailed, (<-s.lists).Scope, name)
-		if play.heartbeat {
-			require.Len(t, heartbeats, 1, name)
-			require.Equal(t, 2150.0, <-heartbeats, name)
-		} else {
-			for len(heartbeats) > 0 {
-				require.Equal(t, "closed by the watcher", name)
-				<-heartbeats // the empty line itself
-			}
+		for _, silentMS := range []float64{0, 1, 1900, 2149} {
+			s := newFixture(t)
+			heartbeats := make(chan float64, 9)
+			s.w.OnHeartbeat = func(readAt float64) { heartbeats <- readAt }
+			s.w.RequestWatch()
+			_, chunk, c := s.open()
+			chunk(s.list(42))
+			<-s.lists
+			s.clock.Advance(silentMS)
+			end(s, chunk, c)
+			require.Equal(t, balance.RequestFailed, (<-s.lists).Scope, name)
+			require.Empty(t, heartbeats, "%s, %g ms after the last line", name, silentMS)
 		}
 	}
 }
--- a/internal/net/discovery/watch.go
+++ b/internal/net/discovery/watch.go
@@ -10,7 +10,6 @@
 	"net"
 	"strconv"
 	"sync"
-	"syscall"
 
 	"cottonwell/internal/clock"
 	"cottonwell/internal/net/httpio"
@@ -88,7 +87,8 @@
 }
 
 // read delivers the lists as they arrive, and the heartbeats between them. It calls extend at each, which extends
-// the deadline of the connection.
+// the deadline of the connection. The end of the stream is no heartbeat: the watch may have fallen silent before, and
+// hidden changes since.
 func (x *watch) read(body io.Reader, extend func() error) error {
 	monitor := &streamMonitor{r: body, now: x.Clock.Now, extend: extend}
 	if err := monitor.extend(); err != nil {
@@ -103,10 +103,6 @@
 	for decoder := json.NewDecoder(monitor); ; gotList = true {
 		var list List
 		if err := decoder.Decode(&list); err != nil {
-			if gotList && !monitor.inObject && closedByPeer(monitor.err) && x.Clock.Now() <= monitor.readAt+maxEmptyLineGap {
-				monitor.readAt = x.Clock.Now()
-				monitor.onHeartbeat() // the stream ended, and everything until then was reported
-			}
 			return x.readError(err, monitor.err)
 		}
 		startedAt := monitor.objectStartedAt
@@ -118,11 +114,6 @@
 	}
 }
 
-// closedByPeer reports whether the other side ended the stream.
-func closedByPeer(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
-}
-
 // readError returns the error for a list that could not be read. streamErr is the error of its stream, if that
 // broke.
 func (x *watch) readError(err, streamErr error) error {
