Try refused Gearman background jobs again until they run

Cause: a refused job was dropped like that of a client that waits and can come again. So was one without memory or with too long a workload.

Evidence: in the exchange gearman-background the core counts a refusal and GET_STATUS no longer knows the job; the targets saw no attempt.

Change: a refused background job waits for its next flow in a retry queue, a state machine; a refusal promises that a repeat does no harm. What is not kept is answered ERROR in place of JOB_CREATED.

--- a/cmd/cottonwell/shutdown.go
+++ b/cmd/cottonwell/shutdown.go
@@ -21,6 +21,9 @@
 	if hasSuccessor && s.gearmanFront != nil {
 		s.gearmanFront.handOver()
 	}
+	if !hasSuccessor && s.gearman != nil {
+		s.gearman.RefuseBackground()
+	}
 	s.listener.SetReady(false)
 	if s.duties != nil {
 		s.duties.Resign(ctx) // other schedulers take the duties over while this one still serves
@@ -36,6 +39,9 @@
 	s.listener.StartShutdown()
 	if s.gearman != nil {
 		s.gearman.StartShutdown() // otherwise clients that keep their connections would delay the exit
+		if hasSuccessor {
+			s.gearman.TransferBackground(s.gearmanFront.address)
+		}
 	}
 	finishAlarm, exitAlarm, pollAlarm := s.clock.NewAlarm(), s.clock.NewAlarm(), s.clock.NewAlarm()
 	defer pollAlarm.Stop()
@@ -47,7 +53,7 @@
 	for idle := s.core.Idle(); ; {
 		select {
 		case <-exitAlarm.C():
-			s.log.Warn("exiting with open connections", "busy", s.listener.Busy())
+			s.log.Warn("exiting with open connections", "busy", s.listener.Busy(), "gearman_jobs", s.openGearmanJobs())
 			return
 		case <-finishAlarm.C():
 			s.core.EndOpenFlows() // a request without a response at SIGKILL is lost
@@ -56,7 +62,7 @@
 		case <-pollAlarm.C():
 			idle = s.core.Idle()
 		case <-idle:
-			if s.listener.Busy() == 0 {
+			if s.listener.Busy() == 0 && s.openGearmanJobs() == 0 {
 				if idleClosed {
 					s.flushGearman(ctx)
 					return
@@ -71,6 +77,15 @@
 	}
 }
 
+// openGearmanJobs returns the number of Gearman jobs that have not ended. Background jobs among them may wait for their next
+// flow, so that the core is idle.
+func (s *scheduler) openGearmanJobs() int {
+	if s.gearman == nil {
+		return 0
+	}
+	return s.gearman.OpenJobs()
+}
+
 // flushGearman waits until the final packets of all Gearman jobs are written, for a limited time.
 func (s *scheduler) flushGearman(ctx context.Context) {
 	if s.gearmanFront != nil {
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -1,6 +1,6 @@
 // Package buffer stores bytes, such as the bodies of requests, in fixed-size buffers that are reused.
 //
-// A Pool provides the buffers. Pool.Read and Pool.FromBytes copy up to MaxBody bytes into a Body, which is a chain of
+// A Pool provides the buffers. Pool.Read, Pool.FromBytes and Pool.FromString copy up to MaxBody bytes into a Body, which is a chain of
 // buffers with a reference count. When the last holder releases the Body, its buffers return to the pool. The package does
 // not interpret the bytes.
 package buffer
@@ -9,6 +9,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 )
@@ -74,6 +75,9 @@
 // FromBytes copies data into a body.
 func (p *Pool) FromBytes(data []byte) (*Body, error) { return p.Read(bytes.NewReader(data)) }
 
+// FromString copies data into a body.
+func (p *Pool) FromString(data string) (*Body, error) { return p.Read(strings.NewReader(data)) }
+
 // Len returns the length of the body in bytes.
 func (b *Body) Len() int { return b.length }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -64,7 +64,7 @@
 	settings := loadTestConfig(t).Settings
 	operator, err := LoadOperator("../../deploy/operator.toml", &settings)
 	require.NoError(t, err)
-	require.True(t, operator.Gearman.Functions[1].Keyed)
+	require.Equal(t, balance.Keyed, operator.Gearman.Functions[1].Effect)
 	require.Equal(t, "/purchase", operator.Gearman.Functions[1].Path)
 	_, err = LoadOperator("../../deploy/duties.toml", &settings)
 	require.NoError(t, err)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -117,7 +117,7 @@
 		if !httpio.ValidRequestTarget(f.Path) {
 			return fmt.Errorf("gearman.function %q: the path %q must be plain, with %%XX for anything else", f.Name, f.Path)
 		}
-		f.Keyed = s.Classes[classIndex].Effect == balance.Keyed
+		f.Effect = s.Classes[classIndex].Effect
 	}
 	for i, w := range gearmanConfig.Workers {
 		switch {
--- a/internal/gearman/packet.go
+++ b/internal/gearman/packet.go
@@ -24,6 +24,8 @@
 //   - With the unique "-" the workload identifies a job in flight. Workers receive "-".
 //   - A refusal is WORK_EXCEPTION (for clients that requested exceptions) or else WORK_WARNING
 //     with the text "refused; retry-after=SECONDS". WORK_FAIL follows as the final packet.
+//   - A background job that is refused is kept and tried again, since no client waits who could submit it again. One that is
+//     not kept is answered ERROR in place of JOB_CREATED: queue_full, too_large or shutting_down.
 //   - CAN_DO_TIMEOUT is handled as CAN_DO: deadlines come from the operator's file, per function.
 //   - Jobs of a higher priority are assigned first among the queued ones, and never preempt a job.
 //   - A second connection with a worker's client ID replaces the first one, which counts as
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 
+	"cottonwell/balance"
 	"cottonwell/internal/buffer"
 	"cottonwell/internal/clock"
 	"cottonwell/internal/core"
@@ -21,13 +22,13 @@
 
 // Function maps a Gearman function to a class of the scheduler and sets its jobs' properties.
 type Function struct {
-	Name       string  `toml:"name"`
-	Class      string  `toml:"class"`
-	DeadlineMS float64 `toml:"patience_ms"` // the client's deadline for the whole job
-	Slots      float64 `toml:"slots"`
-	Tenant     string  `toml:"tenant"`
-	Path       string  `toml:"path"` // at HTTP targets; "/" and the class by default
-	Keyed      bool    `toml:"-"`    // the class's key is the job's unique
+	Name       string         `toml:"name"`
+	Class      string         `toml:"class"`
+	DeadlineMS float64        `toml:"patience_ms"` // the client's deadline for the whole job
+	Slots      float64        `toml:"slots"`
+	Tenant     string         `toml:"tenant"`
+	Path       string         `toml:"path"` // at HTTP targets; "/" and the class by default
+	Effect     balance.Effect `toml:"-"`    // of the class; if it is keyed, the key is the job's unique
 }
 
 // Worker is the placement of the worker that connects with this client ID.
@@ -77,16 +78,20 @@
 	pool    *buffer.Pool
 	sockets *httpio.Budget
 	memory  *memoryBudget
+	wake    chan struct{} // wakes runRetries after a change of retries or successor
 
 	// mu guards the fields below. It must not be held during a call of the core, whose
 	// goroutine may be waiting for it.
-	mu        sync.Mutex
-	closing   bool // no further jobs are accepted
-	conns     map[*conn]bool
-	jobs      map[string]*job // by handle
-	jobsByKey map[jobKey]*job // jobs that others may join
-	workers   map[string]*worker
-	lastID    uint64
+	mu                sync.Mutex
+	closing           bool // no further jobs are accepted
+	refusesBackground bool // no further background jobs are accepted
+	conns             map[*conn]bool
+	jobs              map[string]*job // by handle
+	jobsByKey         map[jobKey]*job // jobs that others may join
+	retries           retryQueue      // background jobs that wait for their next flow
+	successor         string          // address of the process that takes over background jobs; empty if there is none
+	workers           map[string]*worker
+	lastID            uint64
 }
 
 // New returns a server for a configuration that LoadOperator of package config has checked.
@@ -95,7 +100,7 @@
 func New(cfg Config, name string, scheduler Scheduler, clk clock.Clock, log *slog.Logger, pool *buffer.Pool, memoryLimit int) *Server {
 	return &Server{cfg: cfg, name: idPart(name), core: scheduler, clock: clk, log: log.With("front", "gearman"), pool: pool,
 		sockets: httpio.NewBudget(cfg.Connections), memory: newMemoryBudget(memoryLimit), conns: map[*conn]bool{}, jobs: map[string]*job{},
-		jobsByKey: map[jobKey]*job{}, workers: map[string]*worker{}}
+		jobsByKey: map[jobKey]*job{}, retries: newRetryQueue(name), workers: map[string]*worker{}, wake: make(chan struct{}, 1)}
 }
 
 // maxIDPartLen is the length in bytes up to which a scheduler's name is part of IDs unchanged.
@@ -147,6 +152,7 @@
 	defer connections.Wait()
 	defer s.closeAll()
 	defer func() { <-ctx.Done() }() // connections outlive the listener
+	connections.Go(func() { s.runRetries(ctx) })
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
 	for {
 		if !s.sockets.Acquire(ctx.Done()) {
@@ -231,6 +237,20 @@
 	return true
 }
 
+// RefuseBackground rejects further background jobs, since the process may end before they are done.
+func (s *Server) RefuseBackground() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusesBackground = true
+}
+
+// OpenJobs returns the number of jobs that have not ended.
+func (s *Server) OpenJobs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.jobs)
+}
+
 // StartShutdown begins a graceful shutdown: the server rejects further jobs, finishes the accepted ones
 // and keeps its workers connected.
 func (s *Server) StartShutdown() {
