Answer a flow with the output of one attempt only

HTTP clients of such workers were answered the last part alone.

Cause: the core passed partial output on without recording that a client has it, and the flow was tried again. The HTTP receiver dropped it.

Change: a receiver says whether partial output is passed on, held back or ignored. Once a client has a part, the end of that attempt decides the flow. What is held back is put before the rest of the same attempt's result. A client that would miss a part does not join.

--- a/internal/core/accept.go
+++ b/internal/core/accept.go
@@ -10,6 +10,7 @@
 	attempts    []attempt
 	outstanding int  // index of the attempt that is outstanding, or -1
 	clientDone  bool // it has its final response, or its client left
+	passedOn    int  // index of the attempt whose partial output a client has, or -1
 }
 
 // attempt is one dispatch of a flow to a target.
@@ -27,6 +28,7 @@
 	endReported bool
 	// endAmbiguous is set if a callback may have reported the end of this attempt or of an earlier one at the same target.
 	endAmbiguous bool
+	partial      heldResult // parts of its result that are held back until it ends
 }
 
 // Ticket identifies a flow to the listener that submitted it.
@@ -53,7 +55,7 @@
 func (e acceptEvent) apply(c *Core) {
 	c.stats.Accepted++
 	c.lastFlow++
-	f := &flow{Request: *e.request, number: c.lastFlow, deadline: e.at + e.request.ClientTimeoutMS, outstanding: -1}
+	f := &flow{Request: *e.request, number: c.lastFlow, deadline: e.at + e.request.ClientTimeoutMS, outstanding: -1, passedOn: -1}
 	c.admit(f)
 }
 
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -16,12 +16,13 @@
 // nullTransport is a transport and a response receiver at almost no cost. It only records started attempts.
 type nullTransport struct{ started []Attempt }
 
-func (q *nullTransport) Start(a Attempt)          { q.started = append(q.started, a) }
-func (q *nullTransport) Cancel(Attempt)           {}
-func (q *nullTransport) Probe(string)             {}
-func (q *nullTransport) UpdateTargets(TargetList) {}
-func (q *nullTransport) Respond(Response)         {}
-func (q *nullTransport) Progress(Progress)        {}
+func (q *nullTransport) Start(a Attempt)                       { q.started = append(q.started, a) }
+func (q *nullTransport) Cancel(Attempt)                        {}
+func (q *nullTransport) Probe(string)                          {}
+func (q *nullTransport) UpdateTargets(TargetList)              {}
+func (q *nullTransport) Respond(Response)                      {}
+func (q *nullTransport) Progress(Progress)                     {}
+func (q *nullTransport) Partial(PartialOutput) PartialHandling { return Ignored }
 
 // BenchmarkRequest measures the cost of one request with its start and its end, by the number of targets and of schedulers.
 // The cost includes the decision module and the messages to other schedulers.
--- a/internal/core/callbacks.go
+++ b/internal/core/callbacks.go
@@ -23,6 +23,10 @@
 		c.cfg.ForwardUnmatched(e.callback)
 		return
 	}
+	if f != nil && e.callback.Partial != nil {
+		c.receivePartial(f, &e.callback)
+		return
+	}
 	if f == nil || !f.mayConcernOutstanding(&e.callback) {
 		c.countDropped("news of an attempt that is over")
 		return
@@ -42,16 +46,14 @@
 	return callback.Attempt == nil || *callback.Attempt == AttemptRef{f.number, f.outstanding}
 }
 
-// receiveProgress passes a start, progress or partial data to the decision module and to the client.
+// receiveProgress passes a start or a completed share to the decision module and to the client.
 func (c *Core) receiveProgress(f *flow, callback *TargetCallback) {
 	n, progress := f.outstanding, callback.Progress
-	if progress.Data == "" {
-		if callback.Attempt != nil || !c.earlierMayReportProgress(f) {
-			f.attempts[n].startReported = true
-		}
-		c.enqueue(balance.Event{Kind: balance.Progressed, Request: f.number, Attempt: n, Worker: callback.From,
-			Started: progress.Started, Fraction: progress.Fraction})
+	if callback.Attempt != nil || !c.earlierMayReportProgress(f) {
+		f.attempts[n].startReported = true
 	}
+	c.enqueue(balance.Event{Kind: balance.Progressed, Request: f.number, Attempt: n, Worker: callback.From,
+		Started: progress.Started, Fraction: progress.Fraction})
 	if !f.clientDone {
 		f.Receiver.Progress(*progress)
 	}
--- a/internal/core/callbacks_test.go
+++ b/internal/core/callbacks_test.go
@@ -160,10 +160,14 @@
 func TestProgressOfANamedAttempt(t *testing.T) {
 	h, second := secondAttemptAt(t, "c", returnFirst)
 	first := h.started[0].AttemptRef
-	h.callBack(TargetCallback{ID: "x", From: second.Target, Attempt: &first, Progress: &Progress{Data: "part"}})
-	require.Empty(t, h.progress)
-	h.callBack(TargetCallback{ID: "x", From: second.Target, Attempt: &second.AttemptRef, Progress: &Progress{Data: "part"}})
-	require.Equal(t, []Progress{{Data: "part"}}, h.progress)
+	for _, attempt := range []AttemptRef{first, second.AttemptRef} {
+		require.Empty(t, h.progress)
+		require.Empty(t, h.partial)
+		h.callBack(TargetCallback{ID: "x", From: second.Target, Attempt: &attempt, Progress: &Progress{Fraction: 0.5}})
+		h.callBack(TargetCallback{ID: "x", From: second.Target, Attempt: &attempt, Partial: &PartialOutput{Data: "part"}})
+	}
+	require.Equal(t, []Progress{{Fraction: 0.5}}, h.progress)
+	require.Equal(t, []PartialOutput{{Data: "part"}}, h.partial)
 }
 
 // repeatingTarget is a model of targets that repeat their callbacks. It records which attempts run.
@@ -275,5 +279,6 @@
 // responseLog is a ResponseReceiver that records the final responses of one request.
 type responseLog struct{ responses []Response }
 
-func (l *responseLog) Respond(response Response) { l.responses = append(l.responses, response) }
-func (l *responseLog) Progress(Progress)         {}
+func (l *responseLog) Respond(response Response)             { l.responses = append(l.responses, response) }
+func (l *responseLog) Progress(Progress)                     {}
+func (l *responseLog) Partial(PartialOutput) PartialHandling { return Ignored }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -27,6 +27,8 @@
 	cancelled []Attempt
 	answers   []Response
 	progress  []Progress
+	partial   []PartialOutput
+	handling  PartialHandling // of partial output
 }
 
 func (h *harness) Start(a Attempt)          { h.started = append(h.started, a) }
@@ -36,6 +38,11 @@
 func (h *harness) Respond(a Response)       { h.answers = append(h.answers, a) }
 func (h *harness) Progress(p Progress)      { h.progress = append(h.progress, p) }
 
+func (h *harness) Partial(p PartialOutput) PartialHandling {
+	h.partial = append(h.partial, p)
+	return h.handling
+}
+
 func newHarness(t *testing.T, targets int) *harness {
 	h := &harness{t: t, clock: clock.NewManual(1.7e12)}
 	s := balance.Settings{Fleet: 1, Zone: "a", Tick: 5 * time.Millisecond, MaxAttempts: 3, ReportsStart: true, Cancel: true,
--- a/internal/core/deliver.go
+++ b/internal/core/deliver.go
@@ -28,9 +28,7 @@
 	}
 	c.stats.countOutcome(o.Result)
 	c.trace.attemptEnded(f, n)
-	if o.Result == balance.OK && !f.clientDone {
-		c.deliver(f, Response{Kind: Served, Body: o.Body})
-	}
+	c.deliverOutcome(f, n, o.Result == balance.OK, o.Body)
 	c.enqueue(balance.Event{Kind: balance.Ended, Request: f.number, Attempt: n, Worker: a.target, Result: o.Result,
 		Final: f.clientDone, Elapsed: clock.Duration(a.endedAt - a.sentAt), Report: o.Report})
 	c.removeIfDone(f)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -58,7 +58,7 @@
 		c.deliverFixed(a.Request, Response{Kind: Refused, RetryAfter: retryAfter, Reason: a.Reason})
 	case balance.Fail:
 		f := c.flows[a.Request]
-		c.deliverFixed(a.Request, Response{Kind: Failed, TimedOut: f != nil && c.clock.Now() > f.deadline-100, Reason: a.Reason})
+		c.deliverFixed(a.Request, Response{Kind: Failed, TimedOut: f != nil && c.nearDeadline(f), Reason: a.Reason})
 	case balance.Wake:
 		c.timers.add(timer{at: c.clock.Now() + clock.Millis(a.After), kind: moduleTimer, id: a.Timer})
 	case balance.Probe:
@@ -82,6 +82,12 @@
 	}
 }
 
+// deadlineMargin is the time in milliseconds before a flow's deadline from which its failure counts as a timeout.
+const deadlineMargin = 100.0
+
+// nearDeadline reports whether a failure of a flow now counts as a timeout.
+func (c *Core) nearDeadline(f *flow) bool { return c.clock.Now() > f.deadline-deadlineMargin }
+
 // fire handles a timer that is due.
 func (c *Core) fire(t timer) {
 	switch t.kind {
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -11,13 +11,15 @@
 
 // Reasons for which the core itself refuses or fails a request, or cancels an attempt.
 const (
-	idInUse        balance.Reason = "id in use"
-	tooManyOpen    balance.Reason = "too many requests open"
-	shutdownReason balance.Reason = "the program ends"
-	noDecision     balance.Reason = "no decision in time"
-	modulePanic    balance.Reason = "decision module panicked"
-	attemptTimeout balance.Reason = "attempt timed out"
-	ambiguousEnd   balance.Reason = "an end that may be another attempt's"
+	idInUse         balance.Reason = "id in use"
+	tooManyOpen     balance.Reason = "too many requests open"
+	shutdownReason  balance.Reason = "the program ends"
+	noDecision      balance.Reason = "no decision in time"
+	modulePanic     balance.Reason = "decision module panicked"
+	attemptTimeout  balance.Reason = "attempt timed out"
+	partialPassedOn balance.Reason = "part of a result was passed on"
+	resultTooLong   balance.Reason = "result longer than 64 KiB"
+	ambiguousEnd    balance.Reason = "an end that may be another attempt's"
 )
 
 // Reasons for which an attempt is not started.
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -57,13 +57,41 @@
 	Priority     int          // higher is served first; 0 is normal
 }
 
-// ResponseReceiver receives the progress and the final response of a flow for its client. Core calls both methods from its
+// ResponseReceiver receives the progress and the final response of a flow for its client. Core calls the methods from its
 // own goroutine, so they must not block. It calls Respond exactly once, or never if the client left first.
 type ResponseReceiver interface {
 	Respond(Response)
 	Progress(Progress)
+	// Partial receives output that an attempt sends before its end, and decides what becomes of it.
+	Partial(PartialOutput) PartialHandling
 }
 
+// PartialOutput is output that an attempt sends before its end.
+type PartialOutput struct {
+	Kind PartialKind
+	Data string // not empty
+}
+
+// PartialKind is the kind of partial output.
+type PartialKind int
+
+// The kinds of partial output.
+const (
+	PartialResult PartialKind = iota // the first part of the result, or the next one
+	Warning
+	Exception
+)
+
+// PartialHandling is what becomes of partial output.
+type PartialHandling int
+
+// The ways to handle partial output.
+const (
+	Ignored  PartialHandling = iota // no client wants it
+	HeldBack                        // core holds it back, and puts it before the rest of the attempt's result
+	PassedOn                        // a client has it, so no other attempt may answer the flow
+)
+
 // ResponseKind is the kind of a final response.
 type ResponseKind int
 
@@ -77,7 +105,7 @@
 // Response is the final response of a flow.
 type Response struct {
 	Kind       ResponseKind
-	Body       string
+	Body       string         // Served: the result, less the parts that were passed on to the client before
 	RetryAfter float64        // Refused: retry-after in milliseconds
 	TimedOut   bool           // Failed: the deadline was reached
 	Reason     balance.Reason // Refused, Failed: reason for the log
@@ -85,11 +113,8 @@
 
 // Progress is a progress report of a running attempt.
 type Progress struct {
-	Started   bool
-	Fraction  float64 // completed share, from 0 to 1; unset if Started
-	Data      string  // partial result that the target sends before the end
-	Warning   bool    // Data is a warning
-	Exception bool    // Data is an exception
+	Started  bool
+	Fraction float64 // completed share, from 0 to 1; unset if Started
 }
 
 // AttemptRef identifies an attempt by the number of its flow and its index within the flow, from 0.
@@ -165,8 +190,9 @@
 type TargetCallback struct {
 	ID, From string         // Request.ID and the target's name
 	Attempt  *AttemptRef    `json:",omitempty"` // the attempt; nil if the target's protocol names only the request
-	Progress *Progress      // nil if the attempt ended
-	Result   balance.Result // how the attempt ended, if Progress is nil
+	Progress *Progress      // nil if it reports something else
+	Partial  *PartialOutput `json:",omitempty"` // nil if it reports something else; only together with Attempt
+	Result   balance.Result // how the attempt ended, if Progress and Partial are nil
 	Report   balance.Report
 	Body     string
 	PassedOn bool // another process of this scheduler received and forwarded it
--- a/internal/gearman/clients.go
+++ b/internal/gearman/clients.go
@@ -79,6 +79,10 @@
 // join adds a client to a job that has not ended. It returns the job if that waits for its next flow and the client waits for
 // the result. The caller must hold mu.
 func (s *Server) join(j *job, c *conn, submitted *submission) *job {
+	if j.resultBegun && !submitted.background {
+		c.respond(Error, "in_progress", "parts of the result of this job were sent already; submit it again later")
+		return nil
+	}
 	j.addClient(c, submitted)
 	if !submitted.background && s.retries.remove(j) {
 		return j
--- a/internal/gearman/job.go
+++ b/internal/gearman/job.go
@@ -23,6 +23,7 @@
 	tries          int     // flows that were started
 	started        bool
 	fraction       float64 // progress, 0 to 1
+	resultBegun    bool    // a part of the result came, which later clients would miss
 	finished       bool
 	ticket         core.Ticket
 	submitted      chan struct{} // closed once ticket is set for the first time
@@ -109,7 +110,7 @@
 		j.number = s.lastID
 	}
 	j.tries++
-	j.started, j.fraction = false, 0
+	j.started, j.fraction, j.resultBegun = false, 0, false
 	j.workload.Retain() // the core releases its reference
 	request := j.request(fmt.Sprintf("gm-%s-%d", s.name, j.number))
 	s.mu.Unlock()
@@ -179,20 +180,44 @@
 	if progress.Fraction > 0 {
 		j.fraction = progress.Fraction
 	}
+	if progress.Started {
+		return
+	}
+	for _, c := range j.waitingClients {
+		c.respond(WorkStatus, j.handle, strconv.Itoa(int(progress.Fraction*1000)), "1000")
+	}
+}
+
+// Partial implements core.ResponseReceiver. Clients are sent partial output as it comes. A warning says nothing about the
+// result, so another attempt may still answer.
+func (j *job) Partial(output core.PartialOutput) core.PartialHandling {
+	j.server.mu.Lock()
+	defer j.server.mu.Unlock()
+	j.resultBegun = j.resultBegun || output.Kind == core.PartialResult
+	handling := core.Ignored
 	for _, c := range j.waitingClients {
-		switch {
-		case progress.Data != "" && progress.Exception:
-			if c.exceptions {
-				c.respond(WorkException, j.handle, progress.Data)
-			}
-		case progress.Data != "" && progress.Warning:
-			c.respond(WorkWarning, j.handle, progress.Data)
-		case progress.Data != "":
-			c.respond(WorkData, j.handle, progress.Data)
-		case !progress.Started:
-			c.respond(WorkStatus, j.handle, strconv.Itoa(int(progress.Fraction*1000)), "1000")
+		if j.sendPartial(c, output) && output.Kind != core.Warning {
+			handling = core.PassedOn
+		}
+	}
+	return handling
+}
+
+// sendPartial sends a client partial output, unless that is an exception and the client did not request exceptions. It reports
+// whether the client is sent it.
+func (j *job) sendPartial(c *conn, output core.PartialOutput) bool {
+	switch output.Kind {
+	case core.Exception:
+		if !c.exceptions {
+			return false
 		}
+		c.respond(WorkException, j.handle, output.Data)
+	case core.Warning:
+		c.respond(WorkWarning, j.handle, output.Data)
+	default:
+		c.respond(WorkData, j.handle, output.Data)
 	}
+	return true
 }
 
 // sendReason sends the reason why a job failed: as WORK_EXCEPTION if the client requested
--- a/internal/gearman/packet.go
+++ b/internal/gearman/packet.go
@@ -22,6 +22,9 @@
 //   - A class with keys uses the unique as its key, so its jobs must have a unique. HTTP targets receive it unchanged
 //     if it is printable ASCII without a space at either end, and otherwise as "sha256:" and its digest.
 //   - With the unique "-" the workload identifies a job in flight. Workers receive "-".
+//   - WORK_DATA and WORK_EXCEPTION are sent to the waiting clients as they come. After that no other worker may answer them: if
+//     the worker fails or vanishes, the job fails. From the first WORK_DATA on, a client that submits the same job and waits
+//     is answered ERROR with in_progress, as it would miss a part.
 //   - A refusal is WORK_EXCEPTION (for clients that requested exceptions) or else WORK_WARNING
 //     with the text "refused; retry-after=SECONDS". WORK_FAIL follows as the final packet.
 //   - A background job that is refused is kept and tried again, since no client waits who could submit it again. One that is
--- a/internal/gearman/workers.go
+++ b/internal/gearman/workers.go
@@ -374,18 +374,35 @@
 	if !active {
 		return
 	}
-	progress := core.Progress{Warning: p.Type == WorkWarning, Exception: p.Type == WorkException}
 	if p.Type == WorkStatus {
-		numerator, err1 := strconv.ParseFloat(p.Args[1], 64)
-		denominator, err2 := strconv.ParseFloat(p.Args[2], 64)
-		if err1 != nil || err2 != nil || !(denominator > 0) {
-			return
-		}
-		progress.Fraction = min(1, max(0, numerator/denominator))
-	} else {
-		progress.Data = p.Args[1]
+		s.handleStatus(a, p)
+		return
+	}
+	if data := p.Args[1]; data != "" {
+		output := core.PartialOutput{Kind: partialKind(p.Type), Data: data}
+		s.core.ReceiveCallback(core.TargetCallback{ID: a.ID, From: a.Target, Attempt: &a.AttemptRef, Partial: &output})
+	}
+}
+
+// partialKind returns the kind of partial output that a packet of the given type carries.
+func partialKind(t Type) core.PartialKind {
+	switch t {
+	case WorkWarning:
+		return core.Warning
+	case WorkException:
+		return core.Exception
+	}
+	return core.PartialResult
+}
+
+// handleStatus handles a WORK_STATUS packet. One that is not a fraction is ignored.
+func (s *Server) handleStatus(a *attempt, p Packet) {
+	numerator, err1 := strconv.ParseFloat(p.Args[1], 64)
+	denominator, err2 := strconv.ParseFloat(p.Args[2], 64)
+	if err1 != nil || err2 != nil || !(denominator > 0) {
+		return
 	}
-	s.reportProgress(a, progress)
+	s.reportProgress(a, core.Progress{Fraction: min(1, max(0, numerator/denominator))})
 }
 
 // reportProgress reports progress of an attempt to the core.
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -315,6 +315,14 @@
 // Progress implements core.ResponseReceiver. This protocol has no message for progress.
 func (e *flowReceiver) Progress(core.Progress) {}
 
+// Partial implements core.ResponseReceiver. This protocol has no message for a part of a result, so the whole result is sent.
+func (e *flowReceiver) Partial(output core.PartialOutput) core.PartialHandling {
+	if output.Kind == core.PartialResult {
+		return core.HeldBack
+	}
+	return core.Ignored
+}
+
 // serveFlow passes a job to the core, waits for its response and writes that to the client. A client that closes
 // its side meanwhile counts as disconnected, even if it had pipelined another request.
 func (l *Listener) serveFlow(slot *connectionSlot, r *core.Request, lastRequest bool) bool {
