Limit how fast one connection is handled, and let others' jobs go first

Cause: while any goroutine can run, Go looks at the network every 10 ms only, and a connection with unread data always has one. Jobs of one client took the places of all others.

Evidence: requests that reach no core delay others as much.

Change: each connection of both front ends has an allowance of messages a millisecond (internal/net/pacer). A Gearman connection is not read while it waits for 160 jobs, and its jobs beyond 16 open ones come after those of others.

--- /dev/null
+++ b/cmd/cottonwell/bad_clients_test.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cottonwell/internal/gearman"
+)
+
+// badClientsFleet is one scheduler with both front ends on, and clients of both that measure its answers.
+type badClientsFleet struct {
+	*testFleet
+	httpAddress, gearmanAddress string
+
+	mu        sync.Mutex
+	latencies []time.Duration
+	errors    []string // requests of good clients without an answer in time
+	notServed int
+}
+
+// gearmanTestConnections is the number of Gearman connections that the scheduler allows.
+const gearmanTestConnections = 400
+
+func startBadClientsFleet(t *testing.T, memoryMB int) *badClientsFleet {
+	f := &badClientsFleet{testFleet: newTestFleet(t), gearmanAddress: freeAddress(t)}
+	f.withoutClients = true
+	operator := filepath.Join(t.TempDir(), "operator.toml")
+	text := fmt.Sprintf("[gearman]\nlisten = %q\nconnections = %d\n[[gearman.function]]\nname = \"view\"\nclass = \"shop-view\"\n"+
+		"[[gearman.worker]]\nid = \"tool-1\"\nzone = \"colombo-1\"\npod = \"tools-a\"\nkind = \"slow-4\"\n", f.gearmanAddress, gearmanTestConnections)
+	require.NoError(t, os.WriteFile(operator, []byte(text), 0o600))
+	f.extraArguments = []string{"--operator", operator}
+	f.startScheduler(0, 1, f.discoveryAddress(0), [2]string{`"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, memoryMB)},
+		controlAddresses(freeAddress(t), freeAddress(t)))
+	f.httpAddress = f.addresses["n0"]
+	f.testFleet.mu.Lock()
+	f.addresses["gm"] = f.httpAddress // IDs of Gearman jobs begin so
+	f.testFleet.mu.Unlock()
+	f.awaitServed(t)
+	return f
+}
+
+// awaitServed waits until a request is served.
+func (f *badClientsFleet) awaitServed(t *testing.T) {
+	require.Eventually(t, func() bool { return f.requestHTTP("n0-first-"+fmt.Sprint(time.Now().UnixNano())) == http.StatusOK }, testTimeout, 50*time.Millisecond)
+}
+
+// goodClientDeadline is the deadline of a good client's request, and goodClientLimit the time in which it must have its answer.
+const (
+	goodClientDeadline = 1000 * time.Millisecond
+	goodClientLimit    = goodClientDeadline + 500*time.Millisecond + socketSlack
+)
+
+// requestHTTP sends one request on a connection of its own and returns the status of the answer, or 0 without one in time.
+func (f *badClientsFleet) requestHTTP(id string) int {
+	c, err := net.Dial("tcp", f.httpAddress)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(goodClientLimit))
+	_, _ = io.WriteString(c, jobRequest(id, fmt.Sprintf("%dm", goodClientDeadline.Milliseconds())))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// requestGearman submits one job on a connection of its own. It returns status 200 if the job is done, 503 if it is not, and 0
+// without an answer in time.
+func (f *badClientsFleet) requestGearman(unique string) int {
+	c, err := net.Dial("tcp", f.gearmanAddress)
+	if err != nil {
+		return 0
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(burstDeadline + burstSlack))
+	_, _ = c.Write(gearman.Request(gearman.SubmitJob, "view", unique, "page"))
+	for {
+		kind, _, err := readResponse(c)
+		switch {
+		case err != nil:
+			return 0
+		case kind == gearman.WorkComplete:
+			return http.StatusOK
+		case kind == gearman.WorkFail || kind == gearman.Error:
+			return http.StatusServiceUnavailable
+		}
+	}
+}
+
+// runGoodClients runs clients of both front ends for a time, and records the answers.
+func (f *badClientsFleet) runGoodClients(duration time.Duration) {
+	var clients sync.WaitGroup
+	end := time.Now().Add(duration)
+	for i := range 8 {
+		request, name := f.requestHTTP, "n0-good"
+		if i%2 == 1 {
+			request, name = f.requestGearman, "gm-good"
+		}
+		clients.Go(func() {
+			for k := 0; time.Now().Before(end); k++ {
+				id, begin := fmt.Sprintf("%s-%d-%d", name, i, k), time.Now()
+				status := request(id)
+				f.mu.Lock()
+				f.latencies = append(f.latencies, time.Since(begin))
+				if status == 0 {
+					f.errors = append(f.errors, fmt.Sprintf("%s after %v", id, time.Since(begin)))
+				}
+				if status != http.StatusOK {
+					f.notServed++
+				}
+				f.mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	clients.Wait()
+}
+
+// check requires that the good clients have their answers, most of them on time, and that memory stays under the configured limit.
+func (f *badClientsFleet) check(t *testing.T, memoryMB int) {
+	const aim = 75 * time.Millisecond // of the class in testdata/config.json, for jobs that take no time
+	peak := peakMemory(t, f.processes["n0"].Process.Pid)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	slices.Sort(f.latencies)
+	n := len(f.latencies)
+	t.Logf("peak of resident memory %d MB; %d requests of good clients, %d without an answer, %d not served; latency p50 %v, p99 %v, worst %v", peak>>20, n,
+		len(f.errors), f.notServed, f.latencies[n/2], f.latencies[n*99/100], f.latencies[n-1])
+	require.Less(t, peak, memoryMB<<20)
+	require.Empty(t, f.errors)
+	require.Greater(t, n, 20)
+	require.Less(t, f.notServed, n/2)
+	require.Less(t, f.latencies[n/2], aim)
+}
+
+// Failure (reported by operators of other deployments): while one client sent small or unsound requests on one connection at full
+// speed, also under ever new names, other clients got their answers late or never, or memory grew without end.
+func TestOneClientAtFullSpeed(t *testing.T) {
+	if testing.Short() {
+		t.Skip("measures latencies")
+	}
+	const memoryMB = 64
+	job := func(id, headers, body string) string {
+		return fmt.Sprintf("POST /shop-view HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Remaining: 1000m\r\n%sContent-Length: %d\r\n\r\n%s", id, headers, len(body), body)
+	}
+	post := func(path, body string) string {
+		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+	}
+	packet := func(kind gearman.Type, args ...string) string { return string(gearman.Request(kind, args...)) }
+	worker := packet(gearman.SetClientID, "tool-1")
+	for name, c := range map[string]struct {
+		gearman bool
+		first   string
+		text    func(i int) string
+	}{
+		"http, readiness":            {false, "", func(int) string { return "GET /up HTTP/1.1\r\nHost: x\r\n\r\n" }},
+		"http, new paths":            {false, "", func(i int) string { return post(fmt.Sprintf("/path-%d", i), "") }},
+		"http, no id":                {false, "", func(int) string { return post("/shop-view", "") }},
+		"http, events that are none": {false, "", func(int) string { return post("/v1/job-events", "{") }},
+		"http, events of new jobs": {false, "", func(i int) string {
+			return post("/v1/job-events", fmt.Sprintf(`{"id":"n0-new-%d","from":"s-1","state":"started"}`, i))
+		}},
+		"http, ends of new jobs": {false, "", func(i int) string {
+			return post("/v1/job-events", fmt.Sprintf(`{"id":"n0-new-%d","from":"t-%d","state":"done"}`, i, i))
+		}},
+		"http, jobs of new tenants": {false, "", func(i int) string {
+			return job(fmt.Sprintf("n0-j-%d", i), fmt.Sprintf("X-Org: org-%d\r\nCookie: sid=s%d\r\n", i, i), "x")
+		}},
+		"http, malformed":                  {false, "", func(int) string { return "\r\n\r\n" }},
+		"gearman, echo":                    {true, "", func(int) string { return packet(gearman.EchoReq, "x") }},
+		"gearman, new functions":           {true, "", func(i int) string { return packet(gearman.SubmitJob, fmt.Sprintf("f-%d", i), "", "") }},
+		"gearman, jobs with new uniques":   {true, "", func(i int) string { return packet(gearman.SubmitJob, "view", fmt.Sprintf("u-%d", i), "x") }},
+		"gearman, background, new uniques": {true, "", func(i int) string { return packet(gearman.SubmitJobBG, "view", fmt.Sprintf("u-%d", i), "x") }},
+		"gearman, the same job":            {true, "", func(int) string { return packet(gearman.SubmitJob, "view", "u", "x") }},
+		"gearman, status of new handles":   {true, "", func(i int) string { return packet(gearman.GetStatus, fmt.Sprintf("H:%d", i)) }},
+		"gearman, administrative lines":    {true, "", func(int) string { return "workers\nstatus\n" }},
+		"gearman, worker that comes and goes": {true, worker, func(int) string {
+			return packet(gearman.CanDo, "view") + packet(gearman.CantDo, "view")
+		}},
+		"gearman, worker that asks": {true, worker + packet(gearman.CanDo, "view") + packet(gearman.CantDo, "view"), func(int) string {
+			return packet(gearman.GrabJob) + packet(gearman.PreSleep)
+		}},
+		"gearman, results of new jobs": {true, worker, func(i int) string { return packet(gearman.WorkComplete, fmt.Sprintf("H:%d", i), "x") }},
+		"gearman, malformed":           {true, "", func(int) string { return "\x00ABC" + strings.Repeat("\x00", 8) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startBadClientsFleet(t, memoryMB)
+			address := f.httpAddress
+			if c.gearman {
+				address = f.gearmanAddress
+			}
+			stop := make(chan struct{})
+			t.Cleanup(func() { close(stop) })
+			go func() {
+				for i := 0; ; {
+					conn, err := net.Dial("tcp", address)
+					if err != nil {
+						return
+					}
+					go func() { _, _ = io.Copy(io.Discard, conn) }()
+					_, err = io.WriteString(conn, c.first)
+					for err == nil {
+						var batch strings.Builder
+						for range 64 {
+							batch.WriteString(c.text(i))
+							i++
+						}
+						_, err = io.WriteString(conn, batch.String())
+						select {
+						case <-stop:
+							conn.Close()
+							return
+						default:
+						}
+					}
+					conn.Close()
+				}
+			}()
+			time.Sleep(200 * time.Millisecond)
+			f.runGoodClients(time.Second)
+			f.check(t, memoryMB)
+		})
+	}
+}
--- a/internal/gearman/clients.go
+++ b/internal/gearman/clients.go
@@ -60,6 +60,9 @@
 		c.outbox.releaseWorkload(len(text))
 		return nil, err
 	}
+	if c.outbox.hasManyJobs() {
+		submitted.priority = min(submitted.priority, bulkPriority)
+	}
 	j := s.newJob(submitted, workload, c)
 	j.addClient(c, submitted)
 	return j, nil
@@ -73,6 +76,7 @@
 		j.background = true
 	} else {
 		j.waitingClients = append(j.waitingClients, c)
+		c.outbox.addWaitingJobs(1)
 	}
 }
 
--- a/internal/gearman/job.go
+++ b/internal/gearman/job.go
@@ -31,6 +31,7 @@
 
 // Priorities of jobs; a higher one is assigned first.
 const (
+	bulkPriority   = -2 // of a client that has many open jobs already
 	lowPriority    = -1
 	normalPriority = 0
 	highPriority   = 1
@@ -62,10 +63,10 @@
 
 // backgroundType returns the type of the packet that submits a background job of a priority.
 func backgroundType(priority int) Type {
-	switch priority {
-	case highPriority:
+	switch {
+	case priority > normalPriority:
 		return SubmitJobHighBG
-	case lowPriority:
+	case priority < normalPriority:
 		return SubmitJobLowBG
 	}
 	return SubmitJobBG
@@ -149,6 +150,7 @@
 	}
 	for _, c := range j.waitingClients {
 		j.sendFinal(c, response)
+		c.outbox.addWaitingJobs(-1)
 	}
 	j.waitingClients = nil
 	if j.background && response.Kind == core.Refused {
--- a/internal/gearman/outbox.go
+++ b/internal/gearman/outbox.go
@@ -13,6 +13,12 @@
 	// in the meantime is the responses to jobs that were read before.
 	readPausePackets = 256
 	readPauseBytes   = 256 << 10
+	// maxWaitingJobs is the number of jobs without a final packet for which a connection waits, beyond which it is not read. So a
+	// client that submits many has no more of them among the jobs that wait for a worker.
+	maxWaitingJobs = 160
+	// manyJobs is the number of open jobs of a connection, background jobs included, beyond which further ones come after those
+	// of other clients.
+	manyJobs = 16
 	// maxOutboxBytes is the most that may wait on a connection. The connection is closed beyond it.
 	maxOutboxBytes = 32 << 20
 	// packetOverhead and jobOverhead are added to the bytes of each packet and job.
@@ -89,6 +95,8 @@
 	packets       []outgoing
 	packetBytes   int
 	workloadBytes int
+	openJobs      int
+	waitingJobs   int  // jobs for whose final packet the connection waits
 	writing       bool // the last packet that was taken may not be written yet
 	closed        bool
 }
@@ -139,12 +147,27 @@
 	return p, true
 }
 
-// waitForRoom waits until so few packets wait that the connection may be read. It returns errOutboxClosed once the outbox is
+// addWaitingJobs changes the number of jobs for whose final packet the connection waits.
+func (b *outbox) addWaitingJobs(change int) {
+	b.budget.mu.Lock()
+	defer b.budget.mu.Unlock()
+	b.waitingJobs += change
+	b.changed.Broadcast()
+}
+
+// hasManyJobs reports whether the connection has so many open jobs that those of others come first.
+func (b *outbox) hasManyJobs() bool {
+	b.budget.mu.Lock()
+	defer b.budget.mu.Unlock()
+	return b.openJobs > manyJobs
+}
+
+// waitForRoom waits until so few packets and jobs wait that the connection may be read. It returns errOutboxClosed once the outbox is
 // closed.
 func (b *outbox) waitForRoom() error {
 	b.budget.mu.Lock()
 	defer b.budget.mu.Unlock()
-	for !b.closed && (len(b.packets) >= readPausePackets || b.packetBytes >= readPauseBytes) {
+	for !b.closed && (len(b.packets) >= readPausePackets || b.packetBytes >= readPauseBytes || b.waitingJobs >= maxWaitingJobs) {
 		b.changed.Wait()
 	}
 	if b.closed {
@@ -183,6 +206,7 @@
 		return false
 	}
 	b.workloadBytes += jobMemory(n)
+	b.openJobs++
 	return true
 }
 
@@ -190,6 +214,7 @@
 	b.budget.mu.Lock()
 	defer b.budget.mu.Unlock()
 	b.workloadBytes -= jobMemory(n)
+	b.openJobs--
 	b.budget.workloads -= jobMemory(n)
 }
 
--- a/internal/gearman/packet.go
+++ b/internal/gearman/packet.go
@@ -132,6 +132,14 @@
 	Args []string
 }
 
+// size returns the length of the arguments in bytes.
+func (p *Packet) size() (total int) {
+	for _, argument := range p.Args {
+		total += len(argument)
+	}
+	return total
+}
+
 // ReadPacket reads one request packet. After a protocol error the position in the stream is
 // undefined, so the caller must not read any further.
 func ReadPacket(r io.Reader) (Packet, error) {
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -18,6 +18,7 @@
 	"cottonwell/internal/clock"
 	"cottonwell/internal/core"
 	"cottonwell/internal/net/httpio"
+	"cottonwell/internal/net/pacer"
 )
 
 // Function maps a Gearman function to a class of the scheduler and sets its jobs' properties.
@@ -289,7 +290,7 @@
 // readPackets reads and handles packets and administrative lines until ctx ends. It returns
 // the first error of the connection or the protocol.
 func (s *Server) readPackets(ctx context.Context, c *conn) error {
-	reader := bufio.NewReaderSize(c, buffer.Size/2)
+	reader, pace := bufio.NewReaderSize(c, buffer.Size/2), pacer.New(s.clock)
 	for ctx.Err() == nil {
 		if err := c.outbox.waitForRoom(); err != nil {
 			return err
@@ -316,6 +317,7 @@
 				return err
 			}
 			c.send(outgoing{data: []byte(s.adminResponse(strings.TrimSpace(string(line))))})
+			pace.Pause(len(line), ctx.Done())
 			continue
 		}
 		p, err := ReadPacket(reader)
@@ -325,6 +327,7 @@
 		if err := s.handlePacket(c, p); err != nil {
 			return err
 		}
+		pace.Pause(p.size(), ctx.Done())
 	}
 	return ctx.Err()
 }
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -20,6 +20,7 @@
 	"cottonwell/internal/clock"
 	"cottonwell/internal/core"
 	"cottonwell/internal/net/httpio"
+	"cottonwell/internal/net/pacer"
 )
 
 const (
@@ -172,7 +173,7 @@
 		l.closeGently(slot, l.slots.idleCloseReason(slot))
 		return
 	}
-	connectedAt := l.Clock.Now()
+	connectedAt, pace := l.Clock.Now(), pacer.New(l.Clock)
 	for ctx.Err() == nil {
 		if err := c.Await(); err != nil {
 			if !httpio.TimedOut(err) {
@@ -206,9 +207,11 @@
 			l.closeGently(slot, closedEvicted)
 			return
 		}
+		size := body.Len()
 		if !l.handle(slot, req, body) {
 			return
 		}
+		pace.Pause(size, ctx.Done())
 	}
 }
 
