Bound the memory of requests that are being received

Cause: a head of 8 KiB may hold 2,000 fields, each of which needs many times its length, and is kept while the body is awaited. Bodies and Gearman packets that are being read counted against nothing but the number of connections.

Change: a head may have 100 fields (431). Bodies of HTTP requests hold a sixth of memory_mb together, beyond it a request is refused before it is forwarded; an eighth of that is kept for small bodies. Gearman packets that are being read hold a quarter of the front end's part, and have to come within 2.4 s in place of 10. Connections may need half of memory_mb. With 192 MB and 1,024 descriptors none of this binds before the descriptors do, but for large bodies.

--- a/cmd/cottonwell/bad_clients_test.go
+++ b/cmd/cottonwell/bad_clients_test.go
@@ -148,6 +148,88 @@
 	require.Less(t, f.latencies[n/2], aim)
 }
 
+// Failure (reported by operators of other deployments): hundreds of clients that write slowly, stop half way or send very many
+// header fields drove a process over its memory limit.
+func TestMemoryOfManyBadClients(t *testing.T) {
+	if testing.Short() {
+		t.Skip("hundreds of connections for each row")
+	}
+	const clients, memoryMB = 700, 64
+	body := strings.Repeat("x", 60<<10)
+	halfRequest := "POST /shop-view HTTP/1.1\r\nHost: x\r\nX-Txn: n0-half-%d\r\nX-Remaining: 1000m\r\nContent-Length: 65536\r\n\r\n" + body
+	chunks := strings.Repeat("1\r\nx\r\n", 10<<10)
+	fields := strings.Repeat("a:\r\n", 1950)
+	distinct := func() string {
+		var b strings.Builder
+		for i := range 1100 {
+			fmt.Fprintf(&b, "%x:\r\n", 0x100+i)
+		}
+		return b.String()
+	}()
+	gearmanHalf := string(gearman.Request(gearman.SubmitJob, "view", "half", body))
+	for name, c := range map[string]struct {
+		gearman bool
+		text    func(i int) string
+		pieces  int // in which the text is written, 20 ms apart
+	}{
+		"http, half a body":         {false, func(i int) string { return fmt.Sprintf(halfRequest, i) }, 1},
+		"http, half a body, slowly": {false, func(i int) string { return fmt.Sprintf(halfRequest, i) }, 100},
+		"http, half a body in chunks": {false, func(i int) string {
+			return fmt.Sprintf("POST /shop-view HTTP/1.1\r\nHost: x\r\nX-Txn: n0-c-%d\r\nX-Remaining: 1000m\r\nTransfer-Encoding: chunked\r\n\r\n", i) + chunks
+		}, 1},
+		"http, many fields": {false, func(i int) string {
+			return fmt.Sprintf("POST /shop-view HTTP/1.1\r\nHost: x\r\nX-Txn: n0-f-%d\r\nX-Remaining: 1000m\r\n", i) + fields + "\r\n"
+		}, 1},
+		"http, many distinct fields": {false, func(i int) string {
+			return fmt.Sprintf("POST /shop-view HTTP/1.1\r\nHost: x\r\nX-Txn: n0-d-%d\r\nX-Remaining: 1000m\r\n", i) + distinct + "\r\n"
+		}, 1},
+		"http, many fields and half a body": {false, func(i int) string {
+			return fmt.Sprintf("POST /shop-view HTTP/1.1\r\nHost: x\r\nX-Txn: n0-b-%d\r\nX-Remaining: 1000m\r\nContent-Length: 65536\r\n", i) + distinct + "\r\n" + body
+		}, 1},
+		"http, many trailers": {false, func(i int) string {
+			return fmt.Sprintf("POST /shop-view HTTP/1.1\r\nHost: x\r\nX-Txn: n0-t-%d\r\nX-Remaining: 1000m\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", i) + distinct + "\r\n"
+		}, 1},
+		"gearman, half a packet":         {true, func(int) string { return gearmanHalf[:len(gearmanHalf)-1] }, 1},
+		"gearman, half a packet, slowly": {true, func(int) string { return gearmanHalf[:len(gearmanHalf)-1] }, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startBadClientsFleet(t, memoryMB)
+			address, n := f.httpAddress, clients
+			if c.gearman {
+				address, n = f.gearmanAddress, gearmanTestConnections-20
+			}
+			barrier := make(chan struct{})
+			var connected sync.WaitGroup
+			for i := range n {
+				connected.Add(1)
+				conn, err := net.Dial("tcp", address)
+				require.NoError(t, err)
+				t.Cleanup(func() { conn.Close() })
+				go func() {
+					text := c.text(i)
+					connected.Done()
+					<-barrier
+					size := (len(text) + c.pieces - 1) / c.pieces
+					for len(text) > 0 {
+						k := min(size, len(text))
+						if _, err := io.WriteString(conn, text[:k]); err != nil {
+							return
+						}
+						if text = text[k:]; len(text) > 0 {
+							time.Sleep(20 * time.Millisecond)
+						}
+					}
+				}()
+			}
+			connected.Wait()
+			close(barrier)
+			time.Sleep(time.Second)
+			f.runGoodClients(2 * time.Second)
+			f.check(t, memoryMB)
+		})
+	}
+}
+
 // Failure (reported by operators of other deployments): while one client sent small or unsound requests on one connection at full
 // speed, also under ever new names, other clients got their answers late or never, or memory grew without end.
 func TestOneClientAtFullSpeed(t *testing.T) {
--- a/cmd/cottonwell/descriptors.go
+++ b/cmd/cottonwell/descriptors.go
@@ -17,8 +17,17 @@
 	reservedDescriptorsDivisor = 4
 	// minConnections is the lowest number of connections, to clients and targets together, with which the program starts.
 	minConnections = 16
+	// connectionMemory is the memory of a connection in bytes: its read buffer, its goroutines and the head of a request.
+	// connectionsMemoryDivisor is the part of the memory limit, as a divisor, that all connections may need.
+	connectionMemory         = 32 << 10
+	connectionsMemoryDivisor = 2
 )
 
+// maxDescriptorsInMemory returns the number of descriptors that a memory limit allows.
+func maxDescriptorsInMemory(memoryMB int) int {
+	return memoryMB << 20 / connectionsMemoryDivisor / connectionMemory
+}
+
 // descriptorLimit returns the number of file descriptors that the system allows this process. The Go runtime has raised the soft
 // limit to the hard one by now.
 func descriptorLimit() (int, error) {
@@ -48,7 +57,7 @@
 func connectionBudget(descriptors, other int) (int, error) {
 	connections := descriptors - min(maxReservedDescriptors, descriptors/reservedDescriptorsDivisor) - other
 	if connections < minConnections {
-		return 0, fmt.Errorf("limit of %d descriptors is too low", descriptors)
+		return 0, fmt.Errorf("limit of %d descriptors, by number or memory, is too low", descriptors)
 	}
 	return connections, nil
 }
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -13,6 +13,7 @@
 	"sync"
 
 	"cottonwell/balance"
+	"cottonwell/internal/buffer"
 	"cottonwell/internal/clock"
 	"cottonwell/internal/config"
 	"cottonwell/internal/core"
@@ -48,6 +49,8 @@
 	// gearmanMemoryDivisor is the part of the memory limit, as a divisor, that the Gearman front end's packets and workloads may
 	// hold. The collector needs about as much again, and the rest of the program the remainder.
 	gearmanMemoryDivisor = 6
+	// bodiesMemoryDivisor is the same for the bodies of HTTP requests.
+	bodiesMemoryDivisor = 6
 )
 
 // serve runs the scheduler until ctx ends and the graceful shutdown is complete.
@@ -168,12 +171,13 @@
 // assemble makes the parts of the scheduler and connects them. It starts none of them.
 func assemble(cfg *config.Config, operator *config.Operator, clk clock.Clock, log *slog.Logger) (*scheduler, error) {
 	stack, invariants := httpio.NewStack(), invariant.New()
+	stack.RequestBodies = buffer.NewLimit(cfg.Limits.MemoryMB << 20 / bodiesMemoryDivisor)
 	s := &scheduler{log: log, clock: clk, invariants: invariants}
 	gearmanConnections := 0
 	if operator != nil && operator.Gearman != nil {
 		gearmanConnections = operator.Gearman.Connections
 	}
-	connections, err := connectionBudget(cfg.Limits.Sockets, gearmanConnections)
+	connections, err := connectionBudget(min(cfg.Limits.Sockets, maxDescriptorsInMemory(cfg.Limits.MemoryMB)), gearmanConnections)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -21,8 +21,47 @@
 	MaxBody = 64 << 10
 )
 
-// ErrTooLarge is returned for a body that is longer than MaxBody.
-var ErrTooLarge = errors.New("body is longer than 64 KiB")
+// Errors of a body that is not read.
+var (
+	ErrTooLarge = errors.New("body is longer than 64 KiB")
+	ErrNoMemory = errors.New("bodies hold as much memory as they may")
+)
+
+// reservedDivisor is the part of a limit, as a divisor, that is kept for the first buffers of bodies. So small bodies find room
+// however many large ones there are.
+const reservedDivisor = 8
+
+// Limit bounds the memory of many bodies together. A nil Limit is none.
+type Limit struct {
+	max  int64
+	used atomic.Int64 // bytes
+}
+
+// NewLimit returns a limit of so many bytes.
+func NewLimit(bytes int) *Limit { return &Limit{max: int64(bytes)} }
+
+// charge takes one buffer for a body. It reports false if there is no room.
+func (l *Limit) charge(first bool) bool {
+	if l == nil {
+		return true
+	}
+	most := l.max
+	if !first {
+		most -= l.max / reservedDivisor
+	}
+	if l.used.Add(Size) > most {
+		l.release(1)
+		return false
+	}
+	return true
+}
+
+// release returns the memory of so many buffers.
+func (l *Limit) release(buffers int) {
+	if l != nil {
+		l.used.Add(-int64(buffers * Size))
+	}
+}
 
 // Pool is a pool of reusable buffers.
 type Pool struct {
@@ -44,17 +83,25 @@
 // holder calls Retain, and every holder calls Release once.
 type Body struct {
 	pool     *Pool
+	limit    *Limit // that the chunks count against; may be nil
 	chunks   []*[Size]byte
 	length   int
 	refCount atomic.Int32
 }
 
 // Read reads all of r into a body. It returns ErrTooLarge if r is longer than MaxBody.
-func (p *Pool) Read(r io.Reader) (*Body, error) {
-	b := &Body{pool: p}
+func (p *Pool) Read(r io.Reader) (*Body, error) { return p.ReadWithin(nil, r) }
+
+// ReadWithin is Read for a body that counts against a limit. It returns ErrNoMemory at the limit.
+func (p *Pool) ReadWithin(limit *Limit, r io.Reader) (*Body, error) {
+	b := &Body{pool: p, limit: limit}
 	b.refCount.Store(1)
 	for {
 		if b.length == len(b.chunks)*Size {
+			if !limit.charge(b.length == 0) {
+				b.Release()
+				return nil, ErrNoMemory
+			}
 			b.chunks = append(b.chunks, p.Get())
 		}
 		count, err := r.Read(b.chunks[b.length/Size][b.length%Size:])
@@ -92,6 +139,7 @@
 	for _, c := range b.chunks {
 		b.pool.Put(c)
 	}
+	b.limit.release(len(b.chunks))
 	b.chunks, b.length = nil, 0
 }
 
--- a/internal/gearman/outbox.go
+++ b/internal/gearman/outbox.go
@@ -41,11 +41,13 @@
 
 // memoryBudget limits what waits on all connections together: packets that are not written yet, and the workloads of jobs that
 // have not ended. Each may hold half of the limit. When the packets reach theirs, the connection with most of them is closed.
-// When workloads reach theirs, further jobs are refused, first on connections that hold much.
+// When workloads reach theirs, further jobs are refused, first on connections that hold much. Packets that are being read may hold
+// a quarter beside that; further ones are rejected.
 type memoryBudget struct {
 	mu        sync.Mutex // guards the outboxes, too
 	limit     int        // bytes for packets, and as many for workloads
 	packets   int        // bytes in use
+	reading   int        // bytes of packets that are being read; may be half of limit
 	workloads int
 	holders   map[*outbox]bool // the open outboxes
 }
@@ -96,6 +98,7 @@
 	packetBytes   int
 	workloadBytes int
 	openJobs      int
+	readBytes     int  // of the packet that is being read
 	waitingJobs   int  // jobs for whose final packet the connection waits
 	writing       bool // the last packet that was taken may not be written yet
 	closed        bool
@@ -176,6 +179,29 @@
 	return nil
 }
 
+// chargeRead takes the memory of a packet with so many bytes that is about to be read. It reports false if packets hold as much
+// as they may. A packet that fits the buffer of its connection always finds room. releaseRead returns the memory.
+func (b *outbox) chargeRead(bytes int) bool {
+	if bytes <= buffer.Size {
+		return true
+	}
+	b.budget.mu.Lock()
+	defer b.budget.mu.Unlock()
+	if b.budget.reading+bytes > b.budget.limit/2 {
+		return false
+	}
+	b.budget.reading += bytes
+	b.readBytes = bytes
+	return true
+}
+
+func (b *outbox) releaseRead() {
+	b.budget.mu.Lock()
+	defer b.budget.mu.Unlock()
+	b.budget.reading -= b.readBytes
+	b.readBytes = 0
+}
+
 // written reports whether all packets are written, or never will be.
 func (b *outbox) written() bool {
 	b.budget.mu.Lock()
--- a/internal/gearman/packet.go
+++ b/internal/gearman/packet.go
@@ -102,6 +102,7 @@
 	errSize      = protocolError("too_large packet is longer than 64 KiB")
 	errTruncated = protocolError("truncated packet ends early")
 	errArguments = protocolError("bad_arguments wrong number of arguments")
+	errNoMemory  = protocolError("no_memory packets hold as much memory as they may; submit again later")
 	errUnknown   = protocolError("unknown_command not a packet that this server takes")
 )
 
@@ -140,9 +141,10 @@
 	return total
 }
 
-// ReadPacket reads one request packet. After a protocol error the position in the stream is
-// undefined, so the caller must not read any further.
-func ReadPacket(r io.Reader) (Packet, error) {
+// ReadPacket reads one request packet. Before it allocates memory for the data, it passes the length to reserve, and reads no
+// further if that returns false. After a protocol error the position in the stream is undefined, so the caller must not read any
+// further.
+func ReadPacket(r io.Reader, reserve func(bytes int) bool) (Packet, error) {
 	var header [headerLen]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return Packet{}, truncatedError(err)
@@ -159,6 +161,9 @@
 	if !ok {
 		return p, errUnknown
 	}
+	if !reserve(int(size)) {
+		return p, errNoMemory
+	}
 	data := make([]byte, size)
 	if _, err := io.ReadFull(r, data); err != nil {
 		return p, truncatedError(err)
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -62,7 +63,7 @@
 
 const (
 	idleTimeoutMS   = 3_600_000.0 // long, since a sleeping worker sends nothing
-	packetTimeoutMS = 10_000.0    // between a packet's first byte and its last
+	packetTimeoutMS = 2_400.0     // between a packet's first byte and its last
 	writeTimeoutMS  = 5_000.0
 	closeTimeoutMS  = 25.0    // for the other side to close a connection at the end of the program
 	lingerTimeoutMS = 1_000.0 // for the other side to read the ERROR packet before the connection is closed
@@ -320,18 +321,26 @@
 			pace.Pause(len(line), ctx.Done())
 			continue
 		}
-		p, err := ReadPacket(reader)
+		size, err := s.readAndHandlePacket(c, reader)
 		if err != nil {
 			return err
 		}
-		if err := s.handlePacket(c, p); err != nil {
-			return err
-		}
-		pace.Pause(p.size(), ctx.Done())
+		pace.Pause(size, ctx.Done())
 	}
 	return ctx.Err()
 }
 
+// readAndHandlePacket reads and handles one packet, and returns the length of its arguments. While it does, the packet counts
+// against the memory of all packets.
+func (s *Server) readAndHandlePacket(c *conn, reader io.Reader) (size int, err error) {
+	defer c.outbox.releaseRead()
+	p, err := ReadPacket(reader, c.outbox.chargeRead)
+	if err != nil {
+		return 0, err
+	}
+	return p.size(), s.handlePacket(c, p)
+}
+
 // handlePacket handles one packet. An error that it returns ends the connection.
 func (s *Server) handlePacket(c *conn, p Packet) error {
 	switch p.Type {
--- a/internal/net/httpio/head.go
+++ b/internal/net/httpio/head.go
@@ -34,39 +34,67 @@
 	}
 }
 
+// maxFields is the maximum number of fields in the head of a request.
+const maxFields = 100
+
+// framingFields counts the fields of a head that say where its body ends and whom it is for.
+type framingFields struct{ contentLength, transferEncoding, host int }
+
 // checkLines checks the lines of a head, without the empty line at its end.
 func checkLines(head string) error {
-	count := map[string]int{}
-	for i, line := range strings.Split(head, "\r\n") {
+	if strings.Count(head, "\r\n") > maxFields {
+		return ErrTooManyFields
+	}
+	var fields framingFields
+	lineNumber := 0
+	for line := range strings.SplitSeq(head, "\r\n") {
+		lineNumber++
 		if strings.ContainsFunc(line, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
-			return fmt.Errorf("%w: control character in line %d", ErrMalformed, i+1)
+			return fmt.Errorf("%w: control character in line %d", ErrMalformed, lineNumber)
 		}
-		if i == 0 {
+		if lineNumber == 1 {
 			continue // ReadRequest checks the request line strictly enough
 		}
 		name, value, ok := strings.Cut(line, ":")
 		if !ok || name == "" || strings.ContainsFunc(name, func(r rune) bool { return r > 0x7f || !tokenByte(byte(r)) }) {
-			return fmt.Errorf("%w: line %d is not a header field", ErrMalformed, i+1)
+			return fmt.Errorf("%w: line %d is not a header field", ErrMalformed, lineNumber)
 		}
-		name, value = strings.ToLower(name), strings.Trim(value, " \t")
-		count[name]++
-		switch name {
-		case "content-length":
-			if value == "" || strings.ContainsFunc(value, func(r rune) bool { return r < '0' || r > '9' }) {
-				return fmt.Errorf("%w: Content-Length %q", ErrMalformed, value)
-			}
-		case "transfer-encoding":
-			if !strings.EqualFold(value, "chunked") {
-				return fmt.Errorf("%w: Transfer-Encoding %q", ErrMalformed, value)
-			}
+		if err := fields.add(name, strings.Trim(value, " \t")); err != nil {
+			return err
 		}
 	}
-	for _, name := range []string{"content-length", "transfer-encoding", "host"} {
-		if count[name] > 1 {
-			return fmt.Errorf("%w: repeated %s", ErrMalformed, name)
+	return fields.check()
+}
+
+// add checks the value of a field and counts it.
+func (f *framingFields) add(name, value string) error {
+	switch {
+	case strings.EqualFold(name, "host"):
+		f.host++
+	case strings.EqualFold(name, "content-length"):
+		f.contentLength++
+		if value == "" || strings.ContainsFunc(value, func(r rune) bool { return r < '0' || r > '9' }) {
+			return fmt.Errorf("%w: Content-Length %q", ErrMalformed, value)
+		}
+	case strings.EqualFold(name, "transfer-encoding"):
+		f.transferEncoding++
+		if !strings.EqualFold(value, "chunked") {
+			return fmt.Errorf("%w: Transfer-Encoding %q", ErrMalformed, value)
 		}
 	}
-	if count["content-length"] > 0 && count["transfer-encoding"] > 0 {
+	return nil
+}
+
+// check returns an error if two sides could disagree about the end of the body or the host.
+func (f *framingFields) check() error {
+	switch {
+	case f.contentLength > 1:
+		return fmt.Errorf("%w: repeated content-length", ErrMalformed)
+	case f.transferEncoding > 1:
+		return fmt.Errorf("%w: repeated transfer-encoding", ErrMalformed)
+	case f.host > 1:
+		return fmt.Errorf("%w: repeated host", ErrMalformed)
+	case f.contentLength > 0 && f.transferEncoding > 0:
 		return fmt.Errorf("%w: Content-Length together with Transfer-Encoding", ErrMalformed)
 	}
 	return nil
--- a/internal/net/httpio/httpio.go
+++ b/internal/net/httpio/httpio.go
@@ -25,13 +25,19 @@
 var (
 	ErrMalformed = errors.New("malformed message")
 	ErrTooLarge  = buffer.ErrTooLarge
-	// ErrHeadTooLarge means that a request's head is longer than one buffer.
-	ErrHeadTooLarge = errors.New("head is longer than 8 KiB")
+	// ErrNoMemory means that the bodies of requests hold as much memory as they may.
+	ErrNoMemory = buffer.ErrNoMemory
+	// ErrHeadTooLarge means that a request's head is longer than one buffer, and ErrTooManyFields that it has more than maxFields
+	// fields, each of which needs many times its length in memory.
+	ErrHeadTooLarge  = errors.New("head is longer than 8 KiB")
+	ErrTooManyFields = errors.New("head has more than 100 fields")
 )
 
 // Stack wraps connections that share one pool of buffers.
 type Stack struct {
 	Buffers *buffer.Pool
+	// RequestBodies limits the memory of the bodies of requests that are received; nil: unlimited.
+	RequestBodies *buffer.Limit
 }
 
 // NewStack returns a stack with a buffer pool of its own.
@@ -169,7 +175,7 @@
 			return req, nil, err
 		}
 	}
-	body, err := c.stack.Buffers.Read(req.Body)
+	body, err := c.stack.Buffers.ReadWithin(c.stack.RequestBodies, req.Body)
 	if err != nil {
 		return req, nil, c.messageError(err)
 	}
@@ -236,6 +242,8 @@
 func (c *Conn) messageError(err error) error {
 	var netErr net.Error
 	switch {
+	case errors.Is(err, ErrNoMemory):
+		return err
 	case errors.Is(err, ErrTooLarge), c.limit.N <= 0:
 		return ErrTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr), errors.Is(err, net.ErrClosed):
--- a/internal/net/httpio/httpio_test.go
+++ b/internal/net/httpio/httpio_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -94,3 +95,55 @@
 	_, err = p.Read(strings.NewReader(strings.Repeat("x", buffer.MaxBody+1)))
 	require.ErrorIs(t, err, buffer.ErrTooLarge)
 }
+
+// Bodies that count against a limit hold no more than it allows, large ones leave room for small ones, and what is released can be
+// used again.
+func TestBodiesKeepToTheirLimit(t *testing.T) {
+	const buffers = 16
+	pool, limit := buffer.NewPool(), buffer.NewLimit(buffers*buffer.Size)
+	large := strings.NewReader(strings.Repeat("x", buffer.MaxBody))
+	for range 3 {
+		var held []*buffer.Body
+		for {
+			_, _ = large.Seek(0, io.SeekStart)
+			body, err := pool.ReadWithin(limit, large)
+			if err != nil {
+				require.ErrorIs(t, err, buffer.ErrNoMemory)
+				break
+			}
+			held = append(held, body)
+		}
+		require.Len(t, held, 1)
+		small := 0
+		for {
+			body, err := pool.ReadWithin(limit, strings.NewReader("x"))
+			if err != nil {
+				require.ErrorIs(t, err, buffer.ErrNoMemory)
+				break
+			}
+			held = append(held, body)
+			small++
+		}
+		require.GreaterOrEqual(t, small, buffers/8)
+		for _, body := range held {
+			body.Release()
+		}
+	}
+}
+
+// Failure (reported by operators of other deployments): heads of very many short fields needed many times their length in memory.
+func TestHeadsWithTooManyFields(t *testing.T) {
+	for fields, want := range map[int]error{99: nil, 100: ErrTooManyFields, 1950: ErrTooManyFields} { // and one for the host
+		near, far := net.Pipe()
+		go func() {
+			_, _ = io.WriteString(far, "POST /x HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", fields)+"\r\n")
+		}()
+		_, body, err := NewStack().Wrap(near).ReadRequest(time.Time{})
+		require.ErrorIs(t, err, want, fields)
+		if want == nil {
+			body.Release()
+		}
+		near.Close()
+		far.Close()
+	}
+}
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -245,7 +245,9 @@
 	switch {
 	case errors.Is(err, httpio.ErrTooLarge):
 		r.status, r.text = http.StatusRequestEntityTooLarge, "body over 64 KiB\n"
-	case errors.Is(err, httpio.ErrHeadTooLarge):
+	case errors.Is(err, httpio.ErrNoMemory): // nothing of it was forwarded
+		r.status, r.retryAfter, r.text = http.StatusServiceUnavailable, 1000, "refused: no memory\n"
+	case errors.Is(err, httpio.ErrHeadTooLarge), errors.Is(err, httpio.ErrTooManyFields):
 		r.status, r.text = http.StatusRequestHeaderFieldsTooLarge, err.Error()+"\n"
 	case errors.Is(err, httpio.ErrMalformed):
 		r.status, r.text = http.StatusBadRequest, "malformed request\n"
