Send nothing on for clients that closed their connection

Cause: the end of a connection stands behind its data, and each job was submitted before the next packet was read.

Evidence: one job alone is not sent on, as the end is read at once; many are.

Change: before a job is submitted whose client waits, the system is asked whether the other side has closed. A Gearman connection that is not read is checked every 25 ms. The HTTP front end looks without blocking, and asks the system only if data hides the end.

Measured: TestRequestsOfClosedConnections and TestClientThatLeavesWhileItIsNotRead fail before, or without the check, and pass.

--- a/cmd/cottonwell/bad_clients_test.go
+++ b/cmd/cottonwell/bad_clients_test.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -319,3 +321,80 @@
 		})
 	}
 }
+
+// Failure (reported by operators of other deployments): a client closed its connection with much still unread, and its requests were
+// sent on afterwards. The process is stopped while the client sends and closes. What it reads when it continues may not be sent
+// later than 0.1 s after the close.
+func TestRequestsOfClosedConnections(t *testing.T) {
+	const maxAfterClose, stopped = 100 * time.Millisecond, 400 * time.Millisecond
+	for name, c := range map[string]struct {
+		gearman  bool
+		requests int
+	}{
+		"http, one":     {false, 1},
+		"http, many":    {false, 60},
+		"gearman, one":  {true, 1},
+		"gearman, many": {true, 3000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startBadClientsFleet(t, 192)
+			process, address := f.processes["n0"].Process, f.httpAddress
+			var text strings.Builder
+			for i := range c.requests {
+				if c.gearman {
+					address = f.gearmanAddress
+					text.Write(gearman.Request(gearman.SubmitJob, "view", fmt.Sprintf("left-%d", i), "page"))
+				} else {
+					text.WriteString(jobRequest(fmt.Sprintf("n0-left-%d", i), "1000m"))
+				}
+			}
+			conn, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond) // it is accepted
+			require.NoError(t, process.Signal(syscall.SIGSTOP))
+			_, err = io.WriteString(conn, text.String())
+			require.NoError(t, err)
+			require.NoError(t, conn.Close())
+			closed := time.Now()
+			time.Sleep(stopped)
+			require.NoError(t, process.Signal(syscall.SIGCONT))
+			time.Sleep(time.Second)
+			f.testFleet.mu.Lock()
+			late := 0
+			for _, send := range f.sends {
+				if send.at.Sub(closed) > maxAfterClose {
+					late++
+				}
+			}
+			f.testFleet.mu.Unlock()
+			require.Zero(t, late, "of %d requests sent on", c.requests)
+			f.awaitServed(t)
+		})
+	}
+}
+
+// The same without a stop: a connection is not read while its client waits for many jobs, and the client leaves before a worker comes.
+func TestClientThatLeavesWhileItIsNotRead(t *testing.T) {
+	const jobs, pause = 400, 200 * time.Millisecond
+	f := startGearmanFleet(t, 1, burstDeadline, [2]string{`"aim-us":75000`, `"aim-us":20000000`})
+	c := f.dial()
+	_, err := c.Write(burst(jobs))
+	require.NoError(t, err)
+	time.Sleep(pause)
+	require.NoError(t, c.(*net.TCPConn).CloseWrite()) // nothing is reset, so only the end behind the unread jobs tells
+	time.Sleep(pause)
+	worker := f.dial()
+	for _, p := range [][]byte{gearman.Request(gearman.SetClientID, "tool-1"), gearman.Request(gearman.CanDo, "view"), gearman.Request(gearman.GrabJob)} {
+		_, err := worker.Write(p)
+		require.NoError(t, err)
+	}
+	var begun atomic.Int64
+	go serveGearmanJobs(worker, func(workload string) string {
+		if workload != "" { // else it is a job of the HTTP client
+			begun.Add(1)
+		}
+		return "x"
+	})
+	time.Sleep(3 * pause)
+	require.Zero(t, begun.Load(), "jobs began after their client had left")
+}
--- a/internal/gearman/job.go
+++ b/internal/gearman/job.go
@@ -50,6 +50,9 @@
 	return t == SubmitJobBG || t == SubmitJobHighBG || t == SubmitJobLowBG
 }
 
+// isForeground reports whether a packet submits a job whose client waits for it.
+func isForeground(t Type) bool { return t == SubmitJob || t == SubmitJobHigh || t == SubmitJobLow }
+
 // priorityOf returns the priority of a job that was submitted with a packet of the given type.
 func priorityOf(t Type) int {
 	switch t {
--- a/internal/gearman/outbox.go
+++ b/internal/gearman/outbox.go
@@ -165,12 +165,23 @@
 	return b.openJobs > manyJobs
 }
 
+// hasRoom reports whether so few packets and jobs wait that the connection may be read.
+func (b *outbox) hasRoom() bool {
+	b.budget.mu.Lock()
+	defer b.budget.mu.Unlock()
+	return !b.closed && b.hasRoomLocked()
+}
+
+func (b *outbox) hasRoomLocked() bool {
+	return len(b.packets) < readPausePackets && b.packetBytes < readPauseBytes && b.waitingJobs < maxWaitingJobs
+}
+
 // waitForRoom waits until so few packets and jobs wait that the connection may be read. It returns errOutboxClosed once the outbox is
 // closed.
 func (b *outbox) waitForRoom() error {
 	b.budget.mu.Lock()
 	defer b.budget.mu.Unlock()
-	for !b.closed && (len(b.packets) >= readPausePackets || b.packetBytes >= readPauseBytes || b.waitingJobs >= maxWaitingJobs) {
+	for !b.closed && !b.hasRoomLocked() {
 		b.changed.Wait()
 	}
 	if b.closed {
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -66,6 +66,7 @@
 	packetTimeoutMS = 2_400.0     // between a packet's first byte and its last
 	writeTimeoutMS  = 5_000.0
 	closeTimeoutMS  = 25.0    // for the other side to close a connection at the end of the program
+	leftPollMS      = 25.0    // between two checks of a connection that is not read, whether its client left
 	lingerTimeoutMS = 1_000.0 // for the other side to read the ERROR packet before the connection is closed
 	version         = "cottonwell"
 )
@@ -293,7 +294,7 @@
 func (s *Server) readPackets(ctx context.Context, c *conn) error {
 	reader, pace := bufio.NewReaderSize(c, buffer.Size/2), pacer.New(s.clock)
 	for ctx.Err() == nil {
-		if err := c.outbox.waitForRoom(); err != nil {
+		if err := s.waitForRoom(ctx, c); err != nil {
 			return err
 		}
 		if err := c.SetReadDeadline(s.clock.Deadline(idleTimeoutMS)); err != nil {
@@ -338,9 +339,41 @@
 	if err != nil {
 		return 0, err
 	}
+	if isForeground(p.Type) && httpio.PeerClosed(c.Conn) {
+		return 0, errClientLeft
+	}
 	return p.size(), s.handlePacket(c, p)
 }
 
+// errClientLeft is the end of a connection whose client left before its job was read.
+var errClientLeft = errors.New("the client left")
+
+// waitForRoom waits until the connection may be read. As its end is not seen while it is not read, the system is asked for it.
+func (s *Server) waitForRoom(ctx context.Context, c *conn) error {
+	if c.outbox.hasRoom() {
+		return nil
+	}
+	waiting, done := context.WithCancel(ctx)
+	defer done()
+	go s.closeIfClientLeaves(waiting, c)
+	return c.outbox.waitForRoom()
+}
+
+// closeIfClientLeaves ends the use of a connection once its client has left, until ctx ends.
+func (s *Server) closeIfClientLeaves(ctx context.Context, c *conn) {
+	alarm := s.clock.NewAlarm()
+	defer alarm.Stop()
+	for !httpio.PeerClosed(c.Conn) {
+		alarm.Set(s.clock.Now() + leftPollMS)
+		select {
+		case <-ctx.Done():
+			return
+		case <-alarm.C():
+		}
+	}
+	c.outbox.close()
+}
+
 // handlePacket handles one packet. An error that it returns ends the connection.
 func (s *Server) handlePacket(c *conn, p Packet) error {
 	switch p.Type {
--- a/internal/net/listener/listener.go
+++ b/internal/net/listener/listener.go
@@ -334,8 +334,12 @@
 	c := slot.conn
 	receiver := &flowReceiver{response: make(chan core.Response, 1)}
 	r.Receiver = receiver
-	// From Accept on, the core owns r. The deadline is set before, as a connection that is already broken must not
-	// start a job.
+	// From Accept on, the core owns r. A client that has left already, perhaps long before its request was read, must not start a
+	// job, nor must a connection that is broken.
+	if c.ClientGone() {
+		r.Job.Body.Release()
+		return false
+	}
 	if err := c.SetReadDeadline(l.Clock.Deadline(r.ClientTimeoutMS + flowGrace)); err != nil {
 		r.Job.Body.Release()
 		return false
