Recognize clients that leave and come again with the same key or id

Cause: what may have run is remembered with the flow, which ends with its client, while the attempt may run on.

Evidence: the case holds once the decision module is given the pod of the earlier attempt, though the Gearman front end still forgets the job.

Change: the core remembers each attempt that is sent, by id and key, within a bound. A repeated key goes to the pod of the earlier run while that drops repeats, and nowhere afterwards; a repeated id fails. While a request with the key may still start an attempt, another one is refused. The other process of an upgrade and other schedulers are not covered.

--- a/balance/api.go
+++ b/balance/api.go
@@ -234,6 +234,12 @@
 	BackfillUntil map[string]time.Duration // by class: latest time to send a request of up to BackfillSlots
 }
 
+// EarlierRun is an attempt of an earlier request that the same client repeats with a new one. It may have run or may still run.
+type EarlierRun struct {
+	Zone, Cell string // of its worker
+	SentAt     time.Duration
+}
+
 // Event is one thing that happened. Kind determines which fields are used.
 type Event struct {
 	Kind        EventKind
@@ -252,8 +258,9 @@
 	Hint        time.Duration // expected work; 0 if unknown
 	Slots       float64
 	MarkedRetry bool
-	FirstTry    bool // certainly the client's first try, whatever its Budget
-	Priority    int  // queued requests of a higher priority go first; 0 is usual
+	FirstTry    bool        // certainly the client's first try, whatever its Budget
+	Priority    int         // queued requests of a higher priority go first; 0 is usual
+	Earlier     *EarlierRun // Arrived: the request repeats one that may have run; nil: it does not
 	List        ListScope
 	Members     []Member
 	Local       bool // Listed: a change made by this scheduler, not a response of discovery
--- a/balance/attempt.go
+++ b/balance/attempt.go
@@ -25,11 +25,14 @@
 	if previous == nil || c.Effect == Safe {
 		return true
 	}
-	if c.Effect == Unsafe || now-previous.sentAt+2*b.settings.Tick > c.Window {
-		return false
-	}
-	return c.Scope == ScopeAll ||
-		w.Zone == previous.worker.Zone && (c.Scope == ScopeZone || w.Cell == previous.worker.Cell)
+	return b.mayRepeat(now, r) && (c.Scope == ScopeAll ||
+		w.Zone == previous.worker.Zone && (c.Scope == ScopeZone || w.Cell == previous.worker.Cell))
+}
+
+// mayRepeat reports whether r, which may have run, may be sent at all: its workers still drop a repeat.
+func (b *Balancer) mayRepeat(now time.Duration, r *request) bool {
+	c := r.class
+	return c.Effect != Unsafe && now-b.firstMayHaveRun(r).sentAt+2*b.settings.Tick <= c.Window
 }
 
 // send starts an attempt of r at w, updates the load records and schedules the first check of the attempt.
--- a/balance/attempt_test.go
+++ b/balance/attempt_test.go
@@ -229,3 +229,49 @@
 		}
 	}
 }
+
+// Failure: a client left while its request ran and came again with the same key. The new request may go only where the earlier one
+// would be dropped as a repeat, and nowhere once it would not be.
+func TestRequestThatRepeatsAnEarlierOne(t *testing.T) {
+	const window = 7500 * ms
+	all := []string{"a1", "a2", "b3"}
+	for name, c := range map[string]struct {
+		effect  Effect
+		scope   Scope
+		age     time.Duration // of the earlier run, at a worker of zone a, cell 1
+		workers []string      // that may get the request; none: it fails
+	}{
+		"same cell":          {Keyed, ScopeCell, 100 * ms, []string{"a1"}},
+		"same zone":          {Keyed, ScopeZone, 100 * ms, []string{"a1", "a2"}},
+		"anywhere":           {Keyed, ScopeAll, 100 * ms, all},
+		"window over":        {Keyed, ScopeCell, window, nil},
+		"must not be sent":   {Unsafe, ScopeAll, 100 * ms, nil},
+		"may be sent anyhow": {Safe, ScopeAll, 100 * ms, all},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := baseSettings()
+			s.Classes[0].Effect, s.Classes[0].Scope, s.Classes[0].Window = c.effect, c.scope, window
+			seen := map[string]bool{}
+			h := newHarness(t, s, Member{ID: "a1", Zone: "a", Cell: "1"}, Member{ID: "a2", Zone: "a", Cell: "2"},
+				Member{ID: "b3", Zone: "b", Cell: "1"})
+			for id := range uint64(30) { // fills the workers, so that each is drawn
+				acts := h.step(Event{Kind: Arrived, Request: id, Class: "c", Slots: 1, Budget: 5 * time.Second,
+					Earlier: &EarlierRun{Zone: "a", Cell: "1", SentAt: h.now - c.age}})
+				if a := findAction(acts, Send); a != nil {
+					seen[a.Worker] = true
+				}
+				if (findAction(acts, Fail) != nil) != (c.workers == nil) {
+					t.Fatalf("unexpected answer: %+v", acts)
+				}
+			}
+			if len(seen) != len(c.workers) {
+				t.Fatalf("sent to %v, want %v", seen, c.workers)
+			}
+			for _, w := range c.workers {
+				if !seen[w] {
+					t.Errorf("not sent to %s: %v", w, seen)
+				}
+			}
+		})
+	}
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -98,7 +98,8 @@
 	onTimeStartBy, usefulStartBy time.Duration
 	respondBy, reviewAt          time.Duration // latest final response; time of the next review
 	attempts                     []attempt
-	inFlight                     int // attempts in flight
+	earlier                      *attempt // of an earlier request that this one repeats; nil if there is none
+	inFlight                     int      // attempts in flight
 	queued, done                 bool
 	priority                     int
 	keyQueue                     *keyQueue     // of its key, if its class requires order
--- a/balance/draw.go
+++ b/balance/draw.go
@@ -62,7 +62,7 @@
 func (b *Balancer) eligible(now time.Duration, r *request, w *worker, pass int) bool {
 	return w.State == Ready && (r.class.Kind == "" || r.class.Kind == w.Kind) &&
 		(w.Classes == "" || strings.Contains(w.Classes, ","+r.class.Name+",")) &&
-		(len(r.attempts) == 0 || b.maySend(now, r, w)) &&
+		(len(r.attempts) == 0 && r.earlier == nil || b.maySend(now, r, w)) &&
 		(pass == 2 || now >= w.ejectedUntil) && (pass > 0 || now >= r.class.blocked[w.ID].until) &&
 		(pass > 0 || !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.worker == w }))
 }
--- a/balance/reject.go
+++ b/balance/reject.go
@@ -25,8 +25,12 @@
 	return c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll || b.firstMayHaveRun(r) == nil
 }
 
-// firstMayHaveRun returns the first attempt that may have run or may still run, or nil if there is none.
+// firstMayHaveRun returns the first attempt that may have run or may still run, or nil if there is none. It
+// may be that of an earlier request.
 func (b *Balancer) firstMayHaveRun(r *request) *attempt {
+	if r.earlier != nil {
+		return r.earlier
+	}
 	i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.inFlight || !b.neverRan(a.result) })
 	if i < 0 {
 		return nil
--- a/balance/request.go
+++ b/balance/request.go
@@ -36,6 +36,13 @@
 	r.respondBy = now + max(0, ev.Budget-2*b.settings.Tick)
 	b.estimate(r)
 	b.requests[r.id] = r
+	if ev.Earlier != nil && c.Effect != Safe {
+		r.earlier = ev.Earlier.attempt()
+		if !b.mayRepeat(now, r) {
+			b.reject(now, r, MayHaveRun)
+			return
+		}
+	}
 	b.earnedAttempts += b.settings.RetryBudgetRatio
 	if c.InOrder && ev.Key != "" {
 		b.joinKeyQueue(now, r, ev.Key)
@@ -51,6 +58,12 @@
 	b.probeCandidates(now)
 }
 
+// attempt returns an attempt that stands for the earlier run.
+func (e *EarlierRun) attempt() *attempt {
+	member := Member{Zone: e.Zone, Cell: e.Cell}
+	return &attempt{worker: &worker{Member: member}, sentAt: e.SentAt, result: Reset}
+}
+
 // estimate sets the expected work of r and, from it, the latest times of its start.
 func (b *Balancer) estimate(r *request) {
 	c := r.class
--- a/internal/core/accept.go
+++ b/internal/core/accept.go
@@ -8,9 +8,10 @@
 	number      uint64
 	deadline    float64 // when the client timeout ends
 	attempts    []attempt
-	outstanding int  // index of the attempt that is outstanding, or -1
-	clientDone  bool // it has its final response, or its client left
-	passedOn    int  // index of the attempt whose partial output a client has, or -1
+	outstanding int         // index of the attempt that is outstanding, or -1
+	earlier     *earlierRun // the run that the flow repeats; nil if there is none
+	clientDone  bool        // it has its final response, or its client left
+	passedOn    int         // index of the attempt whose partial output a client has, or -1
 }
 
 // attempt is one dispatch of a flow to a target.
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -15,6 +15,14 @@
 		c.stats.DuplicateID++
 		c.reject(f, Response{Kind: Failed, Reason: idInUse})
 		return
+	case c.repeats.find(c.clock.Now(), idKey(f.ID)) != nil: // its client left and came again, and it may have run
+		c.stats.DuplicateID++
+		c.reject(f, Response{Kind: Failed, Reason: idRepeated})
+		return
+	case c.keyInUse(f):
+		c.stats.Refused++
+		c.reject(f, Response{Kind: Refused, RetryAfter: c.cfg.RetryAfterMS, Reason: keyTaken})
+		return
 	case c.shuttingDown:
 		c.stats.Refused++
 		c.reject(f, Response{Kind: Refused, RetryAfter: c.cfg.RetryAfterMS, Reason: shutdownReason})
@@ -29,12 +37,14 @@
 		c.cfg.CountRequest(f.Tenant)
 	}
 	c.flows[f.number], c.flowsByID[f.ID] = f, f
+	f.earlier = c.earlierRunOf(f)
+	c.registerKey(f)
 	c.openFlows++
 	// The decision module normally decides before the deadline. This timer is for a fault of the module.
 	c.timers.add(timer{at: f.deadline + clock.Millis(c.cfg.Settings.ResponseSlack)/2, kind: flowTimer, id: f.number})
 	c.enqueue(balance.Event{Kind: balance.Arrived, Request: f.number, Class: f.Class, Key: f.Subject,
 		Budget: clock.Duration(f.deadline - c.clock.Now()), Hint: clock.Duration(f.ExpectedWorkMS), Slots: f.Slots, Memory: f.Memory, Tenant: f.Tenant, MarkedRetry: f.MarkedRetry,
-		FirstTry: f.FirstTry, Priority: f.Job.Priority})
+		FirstTry: f.FirstTry, Priority: f.Job.Priority, Earlier: f.earlier.forModule()})
 }
 
 // reject gives a flow that is not admitted its final response.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,6 +67,8 @@
 	// The fields below are accessed by Run's goroutine only.
 	flows          map[uint64]*flow
 	flowsByID      map[string]*flow
+	flowsByKey     map[repeatKey]*flow // the last flow with each key of keyOf
+	repeats        repeatMemory
 	lastFlow       uint64 // number of the newest flow
 	openFlows      int    // flows without a final response
 	sourceByTarget map[string]*source
@@ -103,7 +105,7 @@
 	}
 	c := &Core{cfg: cfg, log: cfg.Log, clock: cfg.Clock, invariants: cfg.Invariants, module: module,
 		sources: map[string]*source{}, events: make(chan event, 1024), done: make(chan struct{}),
-		flows: map[uint64]*flow{}, flowsByID: map[string]*flow{}, sourceByTarget: map[string]*source{}, offline: map[string]bool{},
+		flows: map[uint64]*flow{}, flowsByID: map[string]*flow{}, flowsByKey: map[repeatKey]*flow{}, repeats: newRepeatMemory(), sourceByTarget: map[string]*source{}, offline: map[string]bool{},
 		listReady: make(chan struct{}), stats: Stats{Dropped: map[string]int{}}, trace: newTrace(cfg.Log), longestTimeout: map[string]float64{},
 		classes: map[string]*balance.Class{}, activeRules: activeRules{rules: Rules{ColdFactor: 1}}}
 	for i := range cfg.Settings.Classes {
--- a/internal/core/deliver.go
+++ b/internal/core/deliver.go
@@ -26,6 +26,7 @@
 	if f.outstanding == n {
 		f.outstanding = -1
 	}
+	c.reviewMemory(f, n)
 	c.stats.countOutcome(o.Result)
 	c.trace.attemptEnded(f, n)
 	c.deliverOutcome(f, n, o.Result == balance.OK, o.Body)
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -23,6 +23,9 @@
 		c.invariants.Check(n < c.cfg.Settings.MaxAttempts, "too-many-attempts", "flow %d", f.number) &&
 		c.invariants.Check(s != nil, "send-unknown-target", "%s", a.Worker)
 	windowEnd := c.latestStart(f, n)
+	if s != nil && !c.mayRepeatAt(f, s, a.Worker) {
+		windowEnd = 0
+	}
 	if ok && windowEnd <= 0 {
 		ok = c.invariants.Check(false, "repeat-of-unsafe", "flow %d", f.number)
 	}
@@ -39,6 +42,8 @@
 		attemptDeadline = f.deadline
 	}
 	f.attempts[n].transport, f.outstanding = s.Transport, n
+	target := s.targets[a.Worker]
+	c.rememberAttempt(f, AttemptRef{f.number, n}, &target)
 	c.stats.Dispatches++
 	c.trace.attemptStarted(f, leaseEnd-now)
 	c.timers.add(timer{at: attemptDeadline, kind: attemptTimer, id: f.number, attempt: n})
@@ -70,17 +75,35 @@
 // the earlier attempt, or 0 if the class forbids repeats. The transport checks the limit again before the first byte.
 func (c *Core) latestStart(f *flow, n int) float64 {
 	class := c.classes[f.Class]
+	if f.earlier != nil && class != nil {
+		return c.repeatsUntil(class, f.earlier.sentAt)
+	}
 	for i := range f.attempts[:n] {
 		if a := &f.attempts[i]; class != nil && class.Effect != balance.Safe && c.mayHaveRun(a) {
-			if class.Effect == balance.Unsafe {
-				return 0
-			}
-			return a.sentAt + clock.Millis(class.Window-2*c.cfg.Settings.Tick)
+			return c.repeatsUntil(class, a.sentAt)
 		}
 	}
 	return math.Inf(1)
 }
 
+// repeatsUntil returns the time by which a repeat of an attempt that may have run must be sent, or 0 if the class forbids repeats.
+func (c *Core) repeatsUntil(class *balance.Class, sentAt float64) float64 {
+	if class.Effect == balance.Unsafe {
+		return 0
+	}
+	return sentAt + clock.Millis(class.Window-2*c.cfg.Settings.Tick)
+}
+
+// mayRepeatAt reports whether a flow may be sent to a target of a source as far as an earlier flow with its key is concerned.
+func (c *Core) mayRepeatAt(f *flow, s *source, target string) bool {
+	class := c.classes[f.Class]
+	if f.earlier == nil || class == nil {
+		return true
+	}
+	t := s.targets[target]
+	return f.earlier.mayRepeatAt(class, &t)
+}
+
 // mayHaveRun reports whether an attempt may have run or may still run.
 func (c *Core) mayHaveRun(a *attempt) bool {
 	switch a.result {
--- a/internal/core/stats.go
+++ b/internal/core/stats.go
@@ -71,6 +71,7 @@
 	if c.flows[f.number] == f {
 		delete(c.flows, f.number)
 		delete(c.flowsByID, f.ID)
+		c.unregisterKey(f)
 		c.releaseBody(f)
 	}
 }
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -12,6 +12,8 @@
 // Reasons for which the core itself refuses or fails a request, or cancels an attempt.
 const (
 	idInUse         balance.Reason = "id in use"
+	idRepeated      balance.Reason = "id came again"
+	keyTaken        balance.Reason = "key in use by another request"
 	tooManyOpen     balance.Reason = "too many requests open"
 	shutdownReason  balance.Reason = "the program ends"
 	noDecision      balance.Reason = "no decision in time"
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -43,6 +43,8 @@
 	FirstTry        bool    // the listener is sure that it is not a retry
 	Job             Job
 	Receiver        ResponseReceiver
+	// RepeatKey identifies the job for a class whose requests must not be repeated and have no key at targets; empty if unknown.
+	RepeatKey string
 }
 
 // Job is the work for a target. Core forwards it unchanged. The listener checks that its texts can be part of a message to any
--- a/internal/gearman/job.go
+++ b/internal/gearman/job.go
@@ -134,6 +134,9 @@
 		Slots: function.Slots, FirstTry: true, Receiver: j,
 		Job: core.Job{Method: "POST", Path: function.Path, Type: "application/octet-stream", Body: j.workload, Priority: j.priority,
 			Function: j.key.function, Unique: j.key.unique}}
+	if function.Effect == balance.Unsafe && j.key.joinable() {
+		request.RepeatKey = j.key.function + "\x00" + j.key.subject()
+	}
 	if function.Effect == balance.Keyed {
 		request.Job.Key = targetKey(j.key.unique)
 	}
