Give the place of an idle Gearman client to a new connection

Cause: the server waited for a place before it accepted, so further connections stayed in the kernel's queue, established and unread.

Evidence: the same in TestIdleGearmanClientsHoldAllConnections; a close of any connection lets one more in.

Change: a connection is accepted at once and gets the place of the client that is idle longest. If there is none it is answered ERROR no_place and closed. A packet that crosses an eviction is answered, too. Accepting and places have a file of their own.

--- a/cmd/cottonwell/bad_clients_test.go
+++ b/cmd/cottonwell/bad_clients_test.go
@@ -398,3 +398,48 @@
 	time.Sleep(3 * pause)
 	require.Zero(t, begun.Load(), "jobs began after their client had left")
 }
+
+// Failure (review case 7): idle Gearman clients held all connections, and a job that was written to a further connection got neither an
+// answer nor a close. An idle client gives its place to a new one. Where all connections are workers or wait for jobs, the new one is
+// told that there is no place.
+func TestIdleGearmanClientsHoldAllConnections(t *testing.T) {
+	const lateJobs = 5
+	for name, busy := range map[string]bool{"idle": false, "waiting for jobs": true} {
+		t.Run(name, func(t *testing.T) {
+			f := startBadClientsFleet(t, 192)
+			f.targetsHang.Store(busy)
+			for i := range gearmanTestConnections {
+				c, err := net.Dial("tcp", f.gearmanAddress)
+				require.NoError(t, err)
+				t.Cleanup(func() { c.Close() })
+				_ = c.SetDeadline(time.Now().Add(testTimeout))
+				_, err = c.Write(gearman.Request(gearman.SubmitJob, "view", fmt.Sprintf("idle-%d", i), "page"))
+				require.NoError(t, err)
+				for last := gearman.WorkComplete; ; {
+					if busy {
+						last = gearman.JobCreated
+					}
+					kind, _, err := readResponse(c)
+					require.NoError(t, err)
+					if kind == last || kind == gearman.WorkFail {
+						break
+					}
+				}
+			}
+			served, refused := 0, 0
+			for i := range lateJobs {
+				switch f.requestGearman(fmt.Sprintf("late-%d", i)) {
+				case http.StatusOK:
+					served++
+				case http.StatusServiceUnavailable:
+					refused++
+				}
+			}
+			t.Logf("%d served, %d refused", served, refused)
+			require.Equal(t, lateJobs, served+refused, "jobs without an answer")
+			if !busy {
+				require.Equal(t, lateJobs, served)
+			}
+		})
+	}
+}
--- a/internal/gearman/outbox.go
+++ b/internal/gearman/outbox.go
@@ -213,6 +213,13 @@
 	b.readBytes = 0
 }
 
+// idle reports whether nothing is left to write and the connection waits for no job.
+func (b *outbox) idle() bool {
+	b.budget.mu.Lock()
+	defer b.budget.mu.Unlock()
+	return !b.closed && len(b.packets) == 0 && !b.writing && b.waitingJobs == 0
+}
+
 // written reports whether all packets are written, or never will be.
 func (b *outbox) written() bool {
 	b.budget.mu.Lock()
--- a/internal/gearman/packet.go
+++ b/internal/gearman/packet.go
@@ -31,6 +31,7 @@
 //     not kept is answered ERROR in place of JOB_CREATED: queue_full, too_large or shutting_down.
 //   - CAN_DO_TIMEOUT is handled as CAN_DO: deadlines come from the operator's file, per function.
 //   - Jobs of a higher priority are assigned first among the queued ones, and never preempt a job.
+//   - A connection for which there is no place gets that of the client that is idle longest, or ERROR with no_place.
 //   - A second connection with a worker's client ID replaces the first one, which counts as
 //     disconnected.
 //   - The protocol has no way to revoke a job from a worker. After an assigned attempt is
--- a/internal/gearman/server.go
+++ b/internal/gearman/server.go
@@ -6,13 +6,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
-	"net"
-	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"cottonwell/balance"
 	"cottonwell/internal/buffer"
@@ -73,21 +71,23 @@
 
 // Server is the Gearman front. It is both a front for clients and a target transport.
 type Server struct {
-	cfg     Config
-	name    string // part of every handle and id; differs after each start
-	core    Scheduler
-	clock   clock.Clock
-	log     *slog.Logger
-	pool    *buffer.Pool
-	sockets *httpio.Budget
-	memory  *memoryBudget
-	wake    chan struct{} // wakes runRetries after a change of retries or successor
+	cfg       Config
+	name      string // part of every handle and id; differs after each start
+	core      Scheduler
+	clock     clock.Clock
+	log       *slog.Logger
+	pool      *buffer.Pool
+	sockets   *httpio.Budget
+	memory    *memoryBudget
+	rejecting atomic.Int64  // connections that are being told that there is no place
+	wake      chan struct{} // wakes runRetries after a change of retries or successor
 
 	// mu guards the fields below. It must not be held during a call of the core, whose
 	// goroutine may be waiting for it.
 	mu                sync.Mutex
 	closing           bool // no further jobs are accepted
 	refusesBackground bool // no further background jobs are accepted
+	evicting          int  // connections that were evicted and are not closed yet
 	conns             map[*conn]bool
 	jobs              map[string]*job // by handle
 	jobsByKey         map[jobKey]*job // jobs that others may join
@@ -129,105 +129,6 @@
 	return nil
 }
 
-// conn is the connection of a client, a worker, or a peer that is both.
-type conn struct {
-	net.Conn
-	outbox     *outbox
-	writerDone chan struct{} // closed when writeOutbox returns
-	exceptions bool          // the client requested WORK_EXCEPTION
-	worker     *worker
-}
-
-// send puts a packet in the outbox. It closes a connection whose outbox is full.
-func (c *conn) send(o outgoing) {
-	if !c.outbox.put(o) {
-		c.Close()
-	}
-}
-
-// respond puts a response packet in the outbox.
-func (c *conn) respond(t Type, args ...string) { c.send(outgoing{data: Response(t, args...)}) }
-
-// Serve accepts connections until ctx ends, or until the deadline of the listener. Once ctx has ended, it closes the connections
-// and waits for their goroutines.
-func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	var connections sync.WaitGroup
-	defer connections.Wait()
-	defer s.closeAll()
-	defer func() { <-ctx.Done() }() // connections outlive the listener
-	connections.Go(func() { s.runRetries(ctx) })
-	defer context.AfterFunc(ctx, func() { ln.Close() })()
-	for {
-		if !s.sockets.Acquire(ctx.Done()) {
-			return nil
-		}
-		netConn, err := ln.Accept()
-		if err != nil {
-			s.sockets.Release()
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			if errors.Is(err, os.ErrDeadlineExceeded) { // another process accepts connections from now on
-				return ln.Close()
-			}
-			s.log.Error("Gearman connections are no longer accepted", "cause", err)
-			return fmt.Errorf("gearman: accept: %w", err)
-		}
-		connections.Go(func() {
-			defer s.sockets.Release()
-			s.serveConn(ctx, netConn)
-		})
-	}
-}
-
-// serveConn reads and handles the packets of one connection. A protocol error closes that
-// connection and affects no other.
-func (s *Server) serveConn(ctx context.Context, netConn net.Conn) {
-	c := &conn{Conn: netConn, writerDone: make(chan struct{})}
-	c.outbox = newOutbox(s.memory, func() { go s.evict(c) })
-	s.mu.Lock()
-	s.conns[c] = true
-	s.mu.Unlock()
-	go s.writeOutbox(c)
-	err := s.readPackets(ctx, c)
-	var fault protocolError
-	if errors.As(err, &fault) {
-		code, text, _ := strings.Cut(string(fault), " ")
-		s.log.Warn("bad packet", "peer", netConn.RemoteAddr(), "cause", err)
-		c.send(outgoing{data: Response(Error, code, text), closeAfter: true})
-		<-c.writerDone
-		httpio.CloseGently(netConn, s.clock.Deadline(lingerTimeoutMS))
-	} else {
-		c.outbox.close()
-		<-c.writerDone
-	}
-	c.Close()
-	s.mu.Lock()
-	delete(s.conns, c)
-	s.mu.Unlock()
-	s.workerDisconnected(c)
-	s.clientDisconnected(c)
-}
-
-// evict closes a connection that holds more memory than any other while the limit is reached.
-func (s *Server) evict(c *conn) {
-	s.log.Warn("connection closed: it holds the most memory, and the limit is reached", "peer", c.RemoteAddr())
-	c.Close()
-}
-
-// closeAll ends all connections. Their sending sides are closed at once; what still arrives is read for a moment, as closing
-// over unread bytes would reset the connection before the other side has read its last packets.
-func (s *Server) closeAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		half, ok := c.Conn.(interface{ CloseWrite() error })
-		if !ok || half.CloseWrite() != nil || c.SetReadDeadline(s.clock.Deadline(closeTimeoutMS)) != nil {
-			c.Close()
-		}
-	}
-}
-
 // Flushed reports whether all packets to all connections are written.
 func (s *Server) Flushed() bool {
 	s.mu.Lock()
@@ -297,20 +198,11 @@
 		if err := s.waitForRoom(ctx, c); err != nil {
 			return err
 		}
-		if err := c.SetReadDeadline(s.clock.Deadline(idleTimeoutMS)); err != nil {
-			return err
-		}
-		if ctx.Err() != nil { // closeAll may have set its deadline before this one
-			return ctx.Err()
-		}
-		first, err := reader.Peek(1)
+		first, err := s.awaitPacket(ctx, c, reader)
 		if err != nil {
 			return err
 		}
-		if err := c.SetReadDeadline(s.clock.Deadline(packetTimeoutMS)); err != nil {
-			return err
-		}
-		if first[0] != 0 { // a binary packet begins with NUL, an administrative line does not
+		if first != 0 { // a binary packet begins with NUL, an administrative line does not
 			line, err := reader.ReadSlice('\n')
 			if errors.Is(err, bufio.ErrBufferFull) {
 				return protocolError("too_large line has no end")
--- a/internal/net/httpio/peerclosed.go
+++ b/internal/net/httpio/connstate.go
@@ -32,6 +32,23 @@
 	return closed
 }
 
+// DataPending reports whether data of the other side has arrived that is not read yet. It does not block.
+func DataPending(c net.Conn) bool {
+	conn, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	received := 0
+	_ = raw.Control(func(fd uintptr) {
+		received, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return received > 0
+}
+
 // ClientGone reports whether the client of a connection has closed it, before or behind what was read. It does not block, and
 // clears the read deadline. The system is asked for the state only if data is left that hides the end.
 func (c *Conn) ClientGone() bool {
