Retry failed background jobs that may be repeated, and keep accepting after an error

What was seen: in 3 of 6 runs of TestBackgroundJobsInOutage/upgrade one job of 119 was dropped. It was sent a moment before its latest useful start, failed a moment after as 'not started in time', and never reached its target.

Cause: a flow that fails while an attempt is out may not promise that it never ran, and a failed background job was over.

Change: a failure says whether the class allows a repeat and no target has completed the job. A background job is then retried, up to three times; the core sends it only where a repeat is dropped. From reading the change once more: an evicted Gearman connection could miss its wake-up, and an error of accept ended the front end for good; both are fixed, and the connections beyond the budget are reserved.

The clients of the test fleet had the same ids where a scheduler has two processes, which no client does; the rule on repeated ids rejected 121 of them in TestUpgradeUnderLoadLosesNoJobs. Each client has ids of its own now.

--- a/cmd/cottonwell/gearman_background_test.go
+++ b/cmd/cottonwell/gearman_background_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"cottonwell/internal/gearman"
@@ -72,7 +73,9 @@
 				}
 				return keys
 			}
-			require.Eventually(t, func() bool { return len(missing()) == 0 }, testTimeout, 50*time.Millisecond)
+			if !assert.Eventually(t, func() bool { return len(missing()) == 0 }, testTimeout, 50*time.Millisecond) {
+				t.Fatalf("of %d jobs taken, not done: %v", len(taken), missing())
+			}
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			for _, key := range taken {
--- a/cmd/cottonwell/removed_target_test.go
+++ b/cmd/cottonwell/removed_target_test.go
@@ -195,6 +195,7 @@
 	extraArguments  []string      // of all processes
 	descriptors     int           // limit of the system for each process; 0: that of the test
 	withoutClients  bool          // start no clients of the schedulers
+	clients         atomic.Int64  // clients that were started
 	runs            []*processRun // all processes, in the order of their starts
 
 	mu             sync.Mutex
@@ -347,7 +348,7 @@
 
 // runClient sends requests to a scheduler one after another, and counts those that are served and those that fail.
 func (f *testFleet) runClient(ctx context.Context, scheduler string, served *atomic.Int64) {
-	client := &http.Client{Timeout: 2 * time.Second}
+	client, httpClient := f.clients.Add(1), &http.Client{Timeout: 2 * time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
 		f.mu.Lock()
 		address := f.addresses[scheduler]
@@ -356,9 +357,9 @@
 		if err != nil {
 			panic(err)
 		}
-		req.Header.Set("X-Txn", fmt.Sprintf("%s-%d", scheduler, i))
+		req.Header.Set("X-Txn", fmt.Sprintf("%s-%d-%d", scheduler, client, i)) // no two clients have the same id
 		req.Header.Set("X-Remaining", "1000m")
-		if resp, err := client.Do(req); err == nil {
+		if resp, err := httpClient.Do(req); err == nil {
 			if resp.StatusCode == http.StatusOK {
 				served.Add(1)
 			} else {
--- a/cmd/cottonwell/serve.go
+++ b/cmd/cottonwell/serve.go
@@ -175,7 +175,7 @@
 	s := &scheduler{log: log, clock: clk, invariants: invariants}
 	gearmanConnections := 0
 	if operator != nil && operator.Gearman != nil {
-		gearmanConnections = operator.Gearman.Connections
+		gearmanConnections = operator.Gearman.Connections + gearman.ExtraConnections
 	}
 	connections, err := connectionBudget(min(cfg.Limits.Sockets, maxDescriptorsInMemory(cfg.Limits.MemoryMB)), gearmanConnections)
 	if err != nil {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -336,7 +336,7 @@
 	sent := len(h.started)
 	h.apply(endOpenFlowsEvent{})
 	require.Len(t, h.answers, 2)
-	require.Contains(t, h.answers, Response{Kind: Failed, Reason: shutdownReason}, "it may have run")
+	require.Contains(t, h.answers, Response{Kind: Failed, MayRepeat: true, Reason: shutdownReason}, "it may have run, and its key may be repeated")
 	h.accept("z", "c")
 	require.Equal(t, Response{Kind: Refused, RetryAfter: 1000, Reason: shutdownReason}, h.answers[2])
 	require.Len(t, h.started, sent)
--- a/internal/core/deliver.go
+++ b/internal/core/deliver.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"cottonwell/balance"
 	"cottonwell/internal/clock"
 )
@@ -54,12 +56,21 @@
 		c.stats.Refused++
 	case Failed:
 		c.stats.Failed++
+		response.MayRepeat = c.mayRepeat(f)
 	}
 	c.trace.requestCompleted(f, &response)
 	f.Receiver.Respond(response)
 	c.closeForClient(f)
 }
 
+// mayRepeat reports whether a further flow for the same job keeps the rules of its class, and may end otherwise.
+func (c *Core) mayRepeat(f *flow) bool {
+	completed := slices.ContainsFunc(f.attempts, func(a attempt) bool {
+		return a.ended && (a.result == balance.OK || a.result == balance.Failed)
+	})
+	return !completed && c.clock.Now() < c.latestStart(f, len(f.attempts))
+}
+
 // failOverdue fails a flow for which the decision module made no decision before the deadline.
 func (c *Core) failOverdue(number uint64) {
 	f := c.flows[number]
--- a/internal/core/partial_test.go
+++ b/internal/core/partial_test.go
@@ -26,7 +26,7 @@
 		"held back, and too long":                   {HeldBack, []string{long, "x"}, balance.OK, Response{Kind: Failed, Reason: resultTooLong}, 1},
 		"held back, and too long with the last one": {HeldBack, []string{long}, balance.OK, Response{Kind: Failed, Reason: resultTooLong}, 1},
 		"held back, too long, then a reset":         {HeldBack, []string{long, "x"}, balance.Reset, Response{Body: "whole"}, 2},
-		"passed on, then the target vanishes":       {PassedOn, []string{"head,"}, balance.Reset, Response{Kind: Failed, Reason: partialPassedOn}, 1},
+		"passed on, then the target vanishes":       {PassedOn, []string{"head,"}, balance.Reset, Response{Kind: Failed, MayRepeat: true, Reason: partialPassedOn}, 1},
 		"passed on, then the target fails":          {PassedOn, []string{"head,"}, balance.Failed, Response{Kind: Failed, Reason: partialPassedOn}, 1},
 		"passed on, then complete":                  {PassedOn, []string{long, "x"}, balance.OK, Response{Body: "tail"}, 1},
 		"ignored, then the target vanishes":         {Ignored, []string{"head,"}, balance.Reset, Response{Body: "whole"}, 2},
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -110,6 +110,7 @@
 	Body       string         // Served: the result, less the parts that were passed on to the client before
 	RetryAfter float64        // Refused: retry-after in milliseconds
 	TimedOut   bool           // Failed: the deadline was reached
+	MayRepeat  bool           // Failed: the same job may be submitted again, with its key; no target has completed it
 	Reason     balance.Reason // Refused, Failed: reason for the log
 }
 
--- a/internal/gearman/connections.go
+++ b/internal/gearman/connections.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"strings"
@@ -17,10 +16,14 @@
 // This file accepts connections and decides which one has a place.
 
 const (
-	maxOverBudget   = 16    // evicted connections that may be closing beyond the budget; as many more may be told that there is no place
+	maxOverBudget   = 8     // evicted connections that may be closing beyond the budget; as many more may be told that there is no place
+	acceptRetryMS   = 20.0  // after an error
 	rejectTimeoutMS = 400.0 // for the other side to close a connection that is rejected or evicted
 )
 
+// ExtraConnections is the number of connections beyond the configured one that may be closing.
+const ExtraConnections = 2 * maxOverBudget
+
 // errEvicted is the end of a connection whose place belongs to another one.
 const errEvicted = protocolError("no_place all connections are in use; connect again later")
 
@@ -69,8 +72,9 @@
 			if errors.Is(err, os.ErrDeadlineExceeded) { // another process accepts connections from now on
 				return ln.Close()
 			}
-			s.log.Error("Gearman connections are no longer accepted", "cause", err)
-			return fmt.Errorf("gearman: accept: %w", err)
+			s.log.Error("cannot accept", "cause", err)
+			s.pauseAccepting(ctx) // perhaps out of file descriptors: an immediate retry would only use up the CPU
+			continue
 		}
 		if !s.takePlace() {
 			s.reject(&connections, netConn)
@@ -80,6 +84,17 @@
 	}
 }
 
+// pauseAccepting waits for acceptRetryMS, or until ctx ends.
+func (s *Server) pauseAccepting(ctx context.Context) {
+	alarm := s.clock.NewAlarm()
+	defer alarm.Stop()
+	alarm.Set(s.clock.Now() + acceptRetryMS)
+	select {
+	case <-alarm.C():
+	case <-ctx.Done():
+	}
+}
+
 // takePlace takes a place for a new connection, if necessary that of an idle client.
 func (s *Server) takePlace() bool { return s.sockets.TryAcquire() || s.evictIdle() }
 
@@ -147,6 +162,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.reading, c.idleSince = false, s.clock.Now()
+	if c.evicted {
+		return c.SetReadDeadline(longAgo)
+	}
 	return c.SetReadDeadline(s.clock.Deadline(idleTimeoutMS))
 }
 
--- a/internal/gearman/job.go
+++ b/internal/gearman/job.go
@@ -21,6 +21,7 @@
 	submitter      *conn   // whose memory the workload is counted as
 	waitingClients []*conn // each gets one final packet
 	tries          int     // flows that were started
+	failures       int     // flows that failed
 	started        bool
 	fraction       float64 // progress, 0 to 1
 	resultBegun    bool    // a part of the result came, which later clients would miss
@@ -146,8 +147,11 @@
 // Respond implements core.ResponseReceiver.
 func (j *job) Respond(response core.Response) { j.server.flowEnded(j, response) }
 
+// maxFailures is the number of failed flows after which a background job is over.
+const maxFailures = 4
+
 // flowEnded sends each waiting client its one final packet. It removes the job, unless that is a background job that was
-// refused: nobody waits who could submit it again, so it is retried.
+// refused, or failed and may be repeated: nobody waits who could submit it again, so it is retried.
 func (s *Server) flowEnded(j *job, response core.Response) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -159,7 +163,11 @@
 		c.outbox.addWaitingJobs(-1)
 	}
 	j.waitingClients = nil
-	if j.background && response.Kind == core.Refused {
+	if response.Kind == core.Failed {
+		j.failures++
+	}
+	mayRepeat := response.Kind == core.Refused || response.Kind == core.Failed && response.MayRepeat && j.failures < maxFailures
+	if j.background && mayRepeat {
 		s.retryLater(j, response.RetryAfter)
 		return
 	}
